--- a/cmd/hyssopshore/main.go
+++ b/cmd/hyssopshore/main.go
@@ -28,6 +28,7 @@
 
 type arguments struct {
 	Serve      *serveCommand      `arg:"subcommand:serve" help:"run a daemon"`
+	Front      *frontCommand      `arg:"subcommand:front" help:"run a frontend daemon on the platform"`
 	Check      *checkCommand      `arg:"subcommand:check" help:"check a settings file"`
 	Query      *queryCommand      `arg:"subcommand:query" help:"send one request as a caller"`
 	Ticket     *ticketCommand     `arg:"subcommand:ticket" help:"apply tickets, show the configuration and its history"`
@@ -55,7 +56,7 @@
 
 // usages are the long texts by the names of subcommands.
 var usages = map[string]string{
-	"serve": usageServe, "check": usageCheck, "query": usageQuery,
+	"serve": usageServe, "front": usageFront, "check": usageCheck, "query": usageQuery,
 	"ticket": usageTicket, "ticket apply": usageTicketApply,
 	"ticket show": usageTicketShow, "ticket history": usageTicketHistory,
 	"group": usageGroup, "group list": usageGroup,
@@ -118,6 +119,8 @@
 	switch {
 	case args.Serve != nil:
 		return args.Serve.run(ctx, p)
+	case args.Front != nil:
+		return args.Front.run(ctx, p)
 	case args.Check != nil:
 		return args.Check.run(p)
 	case args.Query != nil:
--- a/core/hysbudget/budget.go
+++ b/core/hysbudget/budget.go
@@ -25,6 +25,14 @@
 	return &Budget{share: share, limit: limit, tokens: limit}
 }
 
+// SetLimit replaces how many tokens are kept.
+func (b *Budget) SetLimit(limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+	b.tokens = min(b.tokens, limit)
+}
+
 // Earn adds the share of one request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,7 +67,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.shards[c.key()]
-	if !ok || len(s.replicas) == 0 {
+	if !ok || !s.hasReplica() {
 		return notSent(c.sub, hysquery.ShardUnavailable, "no searcher holds the shard", unavailableRetry), true
 	}
 	if !c.dispatcher.admit {
@@ -84,6 +85,11 @@
 	return SubReply{}, false
 }
 
+// hasReplica reports whether a searcher of the shard may get sub-requests.
+func (s *shard) hasReplica() bool {
+	return slices.ContainsFunc(s.replicas, func(r *replica) bool { return r.state() != stateLeaving })
+}
+
 // admitted is the part of the requests that is taken at a wait.
 func admitted(wait, left time.Duration) float64 {
 	return 1 - (wait.Seconds()/(waitPart*left.Seconds())-startRefusal)/(fullRefusal-startRefusal)
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"slices"
+	"time"
 
+	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysqueue"
 )
@@ -18,7 +20,10 @@
 	running    int
 	// sent is true once a byte may have left.
 	sent bool
-	last Result
+	// unrun counts the sends that searchers have not run and never will.
+	unrun int
+	last  Result
+	from  hysmember.SearcherID
 }
 
 func (c *call) key() shardKey {
@@ -32,26 +37,33 @@
 }
 
 func (c *call) run(ctx context.Context) SubReply {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c.push(ctx)
+	sends, cancel := c.detach(ctx)
+	c.push(sends)
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
+	reply, answered := c.await(ctx, sends, hedge)
+	c.abandon()
+	c.release(answered, cancel)
+	reply.Sends = len(c.sends)
+	return reply
+}
+
+// await returns the final reply, and whether a searcher has given it.
+func (c *call) await(ctx, sends context.Context, hedge *time.Timer) (SubReply, bool) {
 	for c.running > 0 {
 		select {
 		case <-ctx.Done():
-			return c.timeout()
+			return c.timeout(), false
 		case <-hedge.C:
-			hedge.Reset(c.hedge(ctx))
+			hedge.Reset(c.hedge(sends))
 		case o := <-c.results:
 			c.running--
-			if reply, done := c.settle(ctx, o); done {
-				c.abandon()
-				return reply
+			if reply, done := c.settle(ctx, sends, o); done {
+				return reply, true
 			}
 		}
 	}
-	return c.failed()
+	return c.failed(), false
 }
 
 // push queues the first send.
@@ -99,33 +111,42 @@
 }
 
 // settle returns the final reply if the end of a send decides it.
-func (c *call) settle(ctx context.Context, o outcome) (SubReply, bool) {
+func (c *call) settle(ctx, sends context.Context, o outcome) (SubReply, bool) {
 	c.sent = c.sent || !o.result.NotSent
-	c.last = o.result
+	if o.result.NotSent {
+		c.unrun++
+	}
+	c.last, c.from = o.result, o.waiter.replica.Searcher.ID
 	switch o.result.Fault {
 	case FaultNone:
 		return SubReply{
 			Shard: c.sub.Shard, Status: hysquery.ShardAnswered,
 			Version: c.sub.Version, Epoch: c.sub.Epoch, Hits: o.result.Hits,
+			Message: o.result.Message, Searcher: c.from,
 		}, true
 	case FaultRejected:
 		return c.reply(hysquery.ShardFailed, o.result), true
 	case FaultQuarantined:
 		return c.reply(hysquery.ShardQuarantined, o.result), true
 	}
-	c.retry(ctx, o.result)
+	if ctx.Err() == nil {
+		c.retry(sends, o.result)
+	}
 	return SubReply{}, false
 }
 
+// exhausted reports whether no further send is allowed.
+func (c *call) exhausted() bool {
+	runs := c.sub.maxRuns()
+	return len(c.sends)-c.unrun >= runs || len(c.sends) >= runs+maxUnrun
+}
+
 // retry sends once more if nothing else runs. A non-idempotent sub-request is
-// only sent again if no byte of it has left or a leaving searcher has said that
-// it did not run it.
+// only sent again if it certainly has not run.
 func (c *call) retry(ctx context.Context, result Result) {
 	refused := result.NotSent && (result.Fault == FaultRefused || result.Fault == FaultDraining)
-	if c.running > 0 || len(c.sends) >= maxSends || ctx.Err() != nil {
-		return
-	}
-	if !c.sub.Idempotent && !refused {
+	unrun := refused || result.NotSent && c.sub.RetryNotRun
+	if c.running > 0 || c.exhausted() || !c.sub.Idempotent && !unrun {
 		return
 	}
 	t := c.table
@@ -136,7 +157,8 @@
 		return
 	}
 	// A refused connection put no load on a searcher.
-	if refused || t.budget.Spend(0) {
+	free := result.NotSent && result.Fault == FaultRefused || refused && !c.sub.RetryNotRun
+	if free || t.budget.Spend(0) {
 		c.pushAgain(ctx, s)
 	}
 }
@@ -150,6 +172,8 @@
 		return c.reply(hysquery.ShardVersionGone, c.last)
 	case FaultEpochGone:
 		return c.reply(hysquery.ShardEpochGone, c.last)
+	case FaultFailed:
+		return c.reply(hysquery.ShardFailed, c.last)
 	case FaultCancelled:
 		// The cancelled send was heard of before the end of the context.
 		return c.timeout()
@@ -167,6 +191,7 @@
 	return SubReply{
 		Shard: c.sub.Shard, Status: status, Version: c.sub.Version, Epoch: c.sub.Epoch,
 		Reason: result.Reason, RetryAfter: result.RetryAfter, NotSent: !c.sent,
+		Message: result.Message, Searcher: c.from,
 	}
 }
 
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -5,13 +5,18 @@
 	"sync"
 	"time"
 
+	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysqueue"
 	"hyssopshore/core/hysservice"
 )
 
-// maxSends is how many sends one sub-request may take in all.
-const maxSends = 3
+// maxRuns is how many searchers may run one sub-request.
+const maxRuns = 3
+
+// maxUnrun is how many further sends one sub-request may take that searchers
+// have refused to run.
+const maxUnrun = 2
 
 // unavailableRetry is when a shard without a searcher may be asked again.
 const unavailableRetry = time.Second
@@ -31,9 +36,25 @@
 	queue   []hysqueue.Option
 	hedging bool
 	admit   bool
+	hedge   HedgePolicy
+	linger  time.Duration
+	budget  BudgetFunc
 	tables  map[hysservice.Name]*table
 }
 
+// BudgetFunc returns the budget of the extra sends of a service.
+type BudgetFunc func(hysservice.Name) *hysbudget.Budget
+
+// HedgePolicy tells when a sub-request is hedged.
+type HedgePolicy struct {
+	// Percent of the recent latencies of a shard are shorter than the delay.
+	Percent float64
+	// Unknown is the delay while there are too few latencies.
+	Unknown time.Duration
+	// Reserve is what hedges leave of the budget for retries.
+	Reserve float64
+}
+
 // Option changes a Dispatcher.
 type Option func(*Dispatcher)
 
@@ -53,6 +74,23 @@
 	return func(d *Dispatcher) { d.admit = false }
 }
 
+// WithHedging replaces when sub-requests are hedged.
+func WithHedging(p HedgePolicy) Option {
+	return func(d *Dispatcher) { d.hedge = p }
+}
+
+// WithBudget replaces the budgets of the extra sends.
+func WithBudget(budget BudgetFunc) Option {
+	return func(d *Dispatcher) { d.budget = budget }
+}
+
+// WithLinger lets a send go on for a time after another one has answered, so
+// that its connection can be used again. It is cancelled at once if nobody
+// waits for its sub-request any more.
+func WithLinger(span time.Duration) Option {
+	return func(d *Dispatcher) { d.linger = span }
+}
+
 // WithQueue gives options to each queue.
 func WithQueue(options ...hysqueue.Option) Option {
 	return func(d *Dispatcher) { d.queue = options }
@@ -62,6 +100,8 @@
 func New(send Sender, options ...Option) *Dispatcher {
 	d := &Dispatcher{
 		now: time.Now, send: send, hedging: true, admit: true,
+		hedge:  HedgePolicy{Percent: hedgePercent, Unknown: defaultHedgeDelay, Reserve: hedgeReserve},
+		budget: func(hysservice.Name) *hysbudget.Budget { return hysbudget.New(budgetShare, budgetLimit) },
 		tables: make(map[hysservice.Name]*table),
 	}
 	for _, o := range options {
@@ -108,7 +148,7 @@
 	defer d.mu.Unlock()
 	t, ok := d.tables[service]
 	if !ok {
-		t = newTable(d.now, d.send, d.queue)
+		t = newTable(d.now, d.send, d.queue, d.budget(service))
 		d.tables[service] = t
 	}
 	return t
@@ -120,7 +160,7 @@
 	ctx, cancel := context.WithDeadline(ctx, sub.Deadline)
 	defer cancel()
 	t := d.table(sub.Service)
-	c := &call{dispatcher: d, table: t, sub: sub, results: make(chan outcome, maxSends)}
+	c := &call{dispatcher: d, table: t, sub: sub, results: make(chan outcome, sub.maxRuns()+maxUnrun)}
 	if reply, refused := c.refuse(); refused {
 		return reply
 	}
@@ -152,6 +192,13 @@
 	return load
 }
 
+func (s *SubRequest) maxRuns() int {
+	if s.MaxRuns > 0 {
+		return s.MaxRuns
+	}
+	return maxRuns
+}
+
 func notSent(sub SubRequest, status hysquery.ShardStatus, reason string, retry time.Duration) SubReply {
 	return SubReply{
 		Shard: sub.Shard, Status: status, Version: sub.Version, Epoch: sub.Epoch,
--- a/core/hysdispatch/enum_string.go
+++ b/core/hysdispatch/enum_string.go
@@ -19,11 +19,14 @@
 	_ = x[FaultRejected-8]
 	_ = x[FaultQuarantined-9]
 	_ = x[FaultSilent-10]
+	_ = x[FaultMisdirected-11]
+	_ = x[FaultFailed-12]
+	_ = x[FaultStalled-13]
 }
 
-const _Fault_name = "nonerefusedsheddraininglostcancelledversion-goneepoch-gonerejectedquarantinedsilent"
+const _Fault_name = "nonerefusedsheddraininglostcancelledversion-goneepoch-gonerejectedquarantinedsilentmisdirectedfailedstalled"
 
-var _Fault_index = [...]uint8{0, 4, 11, 15, 23, 27, 36, 48, 58, 66, 77, 83}
+var _Fault_index = [...]uint8{0, 4, 11, 15, 23, 27, 36, 48, 58, 66, 77, 83, 94, 100, 107}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -35,17 +35,18 @@
 
 // hedgeDelay is how long a send may run before it is hedged.
 func (c *call) hedgeDelay(s *shard) time.Duration {
-	if delay, ok := s.latency.Quantile(c.table.now(), hedgePercent); ok {
+	policy := c.dispatcher.hedge
+	if delay, ok := s.latency.Quantile(c.table.now(), policy.Percent); ok {
 		return max(delay, minHedgeDelay)
 	}
-	return defaultHedgeDelay
+	return policy.Unknown
 }
 
 // hedge sends once more if the last send has run for long, and returns when to
 // look again. A send that still waits for a slot is not hedged: its hedge would
 // only wait too.
 func (c *call) hedge(ctx context.Context) time.Duration {
-	if !c.hedgeable() || len(c.sends) >= maxSends {
+	if !c.hedgeable() || c.exhausted() {
 		return time.Until(c.sub.Deadline)
 	}
 	t := c.table
@@ -63,7 +64,7 @@
 	if s.wait(c.item(s, nil)).Seconds() > hedgeWaitPart*delay.Seconds() || !c.otherReplica(s) {
 		return delay
 	}
-	if t.budget.Spend(hedgeReserve) {
+	if t.budget.Spend(c.dispatcher.hedge.Reserve) {
 		c.pushAgain(ctx, s)
 	}
 	return delay
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -40,9 +40,6 @@
 	maxShedPause = 500 * time.Millisecond
 )
 
-// latencyWeight is the weight of a new latency in a replica's average.
-const latencyWeight = 0.1
-
 // latencyHalfLife is the time in which an idle replica's remembered latency
 // falls by half, so that one that was slow is tried again.
 const latencyHalfLife = 3 * time.Second
@@ -58,6 +55,11 @@
 	Searcher    hysmember.Searcher
 	Incarnation uint64
 	Holdings    []hyssnapshot.Holding
+	// Distance is the least time that a sub-request to it takes.
+	Distance time.Duration
+	// Slots is how many sub-requests it may run at once; 0 stands for those of
+	// the service.
+	Slots int
 }
 
 type replica struct {
@@ -69,6 +71,7 @@
 	limit   int
 	active  []*waiter
 	shards  []*shard
+	recent  estimate
 	latency time.Duration
 	used    time.Time
 	backoff time.Duration
@@ -109,7 +112,7 @@
 // restart makes the replica cold.
 func (r *replica) restart() {
 	r.fire(triggerRestarted)
-	r.limit, r.latency = 1, 0
+	r.limit, r.latency, r.recent = 1, 0, estimate{}
 	r.backoff, r.pause, r.retryAt = 0, 0, time.Time{}
 }
 
@@ -132,9 +135,9 @@
 func (r *replica) expected(now time.Time) time.Duration {
 	if len(r.active) == 0 {
 		idle := now.Sub(r.used).Seconds() / latencyHalfLife.Seconds()
-		return time.Duration(float64(r.latency) * math.Exp2(-idle))
+		return max(r.Distance, time.Duration(float64(r.latency)*math.Exp2(-idle)))
 	}
-	return max(r.latency, now.Sub(r.active[0].started))
+	return max(r.Distance, r.latency, now.Sub(r.active[0].started))
 }
 
 // score orders free replicas; the lowest is the best.
@@ -160,12 +163,12 @@
 		r.fire(triggerDraining)
 	}
 	switch result.Fault {
-	case FaultNone, FaultVersionGone, FaultEpochGone, FaultRejected:
+	case FaultNone, FaultVersionGone, FaultEpochGone, FaultRejected, FaultFailed:
 		r.fire(triggerAnswered)
 		r.backoff, r.pause = 0, 0
 		r.limit = min(r.limit+1, r.slots)
 		r.recordLatency(latency)
-	case FaultRefused, FaultLost:
+	case FaultRefused, FaultLost, FaultMisdirected, FaultStalled:
 		r.fire(triggerFailed)
 		r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
 		r.retryAt = now.Add(max(r.backoff, min(result.RetryAfter, maxBackoff)))
@@ -187,9 +190,6 @@
 }
 
 func (r *replica) recordLatency(latency time.Duration) {
-	if r.latency == 0 {
-		r.latency = latency
-		return
-	}
-	r.latency += time.Duration(latencyWeight * float64(latency-r.latency))
+	r.recent.add(latency)
+	r.latency = r.recent.value()
 }
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -21,6 +21,7 @@
 
 	"hyssopshore/core/hysgroup"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysmessage"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/core/hyssnapshot"
@@ -44,6 +45,14 @@
 	Fingerprint hysquery.Fingerprint
 	// Proven is true once the request has succeeded on a searcher.
 	Proven bool
+	// Message is a request that is passed on as it is, in place of Body.
+	Message *hysmessage.Request
+	// MaxRuns is how many searchers may run the sub-request; 0 stands for the
+	// default.
+	MaxRuns int
+	// RetryNotRun allows another send of a non-idempotent sub-request whenever
+	// a searcher has said that it did not run it.
+	RetryNotRun bool
 }
 
 // SubReply is the final reply to a sub-request.
@@ -55,8 +64,14 @@
 	Hits       [][]byte
 	Reason     string
 	RetryAfter time.Duration
-	// NotSent is true when no byte of the sub-request left this instance.
+	// NotSent is true when no searcher has run the sub-request or ever will.
 	NotSent bool
+	// Message is the response of a searcher to a Message.
+	Message *hysmessage.Response
+	// Searcher is the one whose result decided the reply.
+	Searcher hysmember.SearcherID
+	// Sends is how many sends were made.
+	Sends int
 }
 
 // Fault tells how one send to a searcher ended.
@@ -77,6 +92,13 @@
 	// FaultSilent is a connection without progress, at a searcher that answers
 	// on others.
 	FaultSilent // silent
+	// FaultMisdirected is a searcher that is another one than was meant.
+	FaultMisdirected // misdirected
+	// FaultFailed is a searcher's own failure, after it ran the sub-request.
+	FaultFailed // failed
+	// FaultStalled is a send that was given up long after another one had
+	// answered.
+	FaultStalled // stalled
 )
 
 // Result is what one send to a searcher brought.
@@ -85,8 +107,11 @@
 	Hits       [][]byte
 	Reason     string
 	RetryAfter time.Duration
-	// NotSent is true when no byte of the sub-request left this instance.
+	// NotSent is true when the searcher has not run the sub-request and never
+	// will.
 	NotSent bool
+	// Message is the searcher's response to a Message.
+	Message *hysmessage.Response
 	// Draining is the searcher's mark that it is leaving.
 	Draining bool
 }
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -21,6 +21,9 @@
 	hedgeReserve = 10
 )
 
+// latencyWeight is the weight of a new latency in a shard's average.
+const latencyWeight = 0.1
+
 // latencySpan is how far back the hedging quantile looks.
 const latencySpan = 2 * time.Second
 
@@ -73,10 +76,9 @@
 	searcher hysmember.Searcher
 }
 
-func newTable(now func() time.Time, send Sender, queue []hysqueue.Option) *table {
+func newTable(now func() time.Time, send Sender, queue []hysqueue.Option, budget *hysbudget.Budget) *table {
 	return &table{
-		now: now, send: send, queue: queue,
-		budget:   hysbudget.New(budgetShare, budgetLimit),
+		now: now, send: send, queue: queue, budget: budget,
 		shards:   make(map[shardKey]*shard),
 		replicas: make(map[hysmember.SearcherID]*replica),
 	}
@@ -102,6 +104,9 @@
 }
 
 func (t *table) update(updated Replica, slots int) {
+	if updated.Slots > 0 {
+		slots = updated.Slots
+	}
 	known, ok := t.replicas[updated.Searcher.ID]
 	if ok && (known.Searcher.Address != updated.Searcher.Address || known.slots != slots) {
 		close(known.jobs)
@@ -243,7 +248,7 @@
 func (t *table) run(r *replica, j job) {
 	result := Result{Fault: FaultCancelled, NotSent: true}
 	if j.waiter.ctx.Err() == nil {
-		result = t.send(j.waiter.ctx, j.searcher, j.waiter.sub)
+		result = stalled(j.waiter.ctx, t.send(j.waiter.ctx, j.searcher, j.waiter.sub))
 	}
 	t.finish(r, j, result)
 	j.waiter.results <- outcome{waiter: j.waiter, result: result}
--- /dev/null
+++ b/core/hysgather/spread.go
@@ -0,0 +1,105 @@
+package hysgather
+
+import (
+	"context"
+	"time"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hyspartial"
+	"hyssopshore/core/hysquery"
+)
+
+// SubmitFunc runs a sub-request and returns its one reply.
+type SubmitFunc func(context.Context, hysdispatch.SubRequest) hysdispatch.SubReply
+
+// Spread is a query that this instance dispatches itself, one sub-request for
+// each shard. All of them come from one version of the configuration.
+type Spread struct {
+	Submit      SubmitFunc
+	SubRequests []hysdispatch.SubRequest
+	Policy      hyspartial.Policy
+	Deadline    time.Time
+}
+
+// Spreading is how a Spread has ended.
+type Spreading struct {
+	Verdict hyspartial.Verdict
+	// Replies holds the replies that came, in the order of the sub-requests;
+	// Replied tells which did.
+	Replies []hysdispatch.SubReply
+	Replied []bool
+	// Answered and Lost count the shards with a part and those without one.
+	Answered int
+	Lost     int
+}
+
+// indexedReply is the reply to one of the sub-requests.
+type indexedReply struct {
+	index int
+	reply hysdispatch.SubReply
+}
+
+// Run sends the sub-requests and returns as soon as the policy has decided. The
+// end of the context cancels what runs.
+func (s *Spread) Run(ctx context.Context) Spreading {
+	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
+	defer cancel()
+	replies := make(chan indexedReply, len(s.SubRequests))
+	for i, sub := range s.SubRequests {
+		go func() { replies <- indexedReply{index: i, reply: s.Submit(ctx, sub)} }()
+	}
+	result := Spreading{
+		Replies: make([]hysdispatch.SubReply, len(s.SubRequests)),
+		Replied: make([]bool, len(s.SubRequests)),
+	}
+	goal := time.NewTimer(time.Until(s.Policy.Goal))
+	defer goal.Stop()
+	for {
+		result.Verdict = s.Policy.Decide(time.Now(), result.Answered, result.Lost)
+		if result.Verdict != hyspartial.VerdictWait {
+			return result
+		}
+		select {
+		case <-ctx.Done():
+			result.Verdict = hyspartial.VerdictGiveUp
+			return result
+		case <-goal.C:
+		case r := <-replies:
+			result.take(r)
+		}
+	}
+}
+
+func (r *Spreading) take(i indexedReply) {
+	r.Replies[i.index], r.Replied[i.index] = i.reply, true
+	if HasPart(i.reply) {
+		r.Answered++
+		return
+	}
+	r.Lost++
+}
+
+// HasPart reports whether a reply holds a searcher's part. A searcher's failure
+// is none.
+func HasPart(r hysdispatch.SubReply) bool {
+	return r.Status == hysquery.ShardAnswered && r.Message != nil && r.Message.Succeeded()
+}
+
+// NotRun reports whether no searcher has run any part, nor ever will.
+func (r *Spreading) NotRun() bool {
+	for i, reply := range r.Replies {
+		if !r.Replied[i] || !reply.NotSent {
+			return false
+		}
+	}
+	return true
+}
+
+// RetryAfter is the longest time that a shard asks to wait.
+func (r *Spreading) RetryAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, reply := range r.Replies {
+		longest = max(longest, reply.RetryAfter)
+	}
+	return longest
+}
--- /dev/null
+++ b/core/hysmember/directory.go
@@ -0,0 +1,192 @@
+package hysmember
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"hyssopshore/core/hysservice"
+)
+
+// returnGrace is how long after the store's return an entry that lapsed while
+// it was away may still come back.
+const returnGrace = 2200 * time.Millisecond
+
+// Revision orders the changes of the store.
+type Revision int64
+
+// Entry is what a searcher has written of itself to the store.
+type Entry struct {
+	Searcher Searcher
+	// Slots is how many requests the searcher runs at once.
+	Slots int
+	// Warmup is how much longer it is slow after its start.
+	Warmup time.Duration
+	// Born tells the starts of one id apart, Sequence its reports since.
+	Born     int64
+	Sequence int64
+	Revision Revision
+}
+
+// olderThan reports whether the entry was written before another of its id.
+func (e Entry) olderThan(other Entry) bool {
+	return e.Revision < other.Revision
+}
+
+// Entries is a list of entries.
+type Entries []Entry
+
+// Change tells how an entry differs from what was known.
+type Change struct {
+	ID      SearcherID
+	Service hysservice.Name
+	// What is one of "joined", "restarted", "draining" and "gone".
+	What     string
+	Revision Revision
+}
+
+// Directory holds the searchers that the store lists, and those that lapsed
+// while the store was away and may come back. It is safe for concurrent use.
+type Directory struct {
+	mu      sync.Mutex
+	entries map[SearcherID]Entry
+	// missing holds since when an entry is no longer listed.
+	missing map[SearcherID]time.Time
+	// removed holds the revision at which an id was last removed.
+	removed  map[SearcherID]Revision
+	away     bool
+	returned time.Time
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{
+		entries: make(map[SearcherID]Entry),
+		missing: make(map[SearcherID]time.Time),
+		removed: make(map[SearcherID]Revision),
+	}
+}
+
+// Lose notes that the store can't be reached.
+func (d *Directory) Lose() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = true
+}
+
+// Regain notes that the store answers.
+func (d *Directory) Regain(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away {
+		d.away, d.returned = false, now
+	}
+}
+
+// Put takes an entry over unless a newer one is known.
+func (d *Directory) Put(e Entry) (Change, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.put(e)
+}
+
+func (d *Directory) put(e Entry) (Change, bool) {
+	id := e.Searcher.ID
+	known, ok := d.entries[id]
+	if ok && e.olderThan(known) || e.Revision <= d.removed[id] {
+		return Change{}, false
+	}
+	d.entries[id] = e
+	delete(d.missing, id)
+	change := Change{ID: id, Service: e.Searcher.Service, Revision: e.Revision}
+	switch {
+	case !ok:
+		change.What = "joined"
+	case e.Born != known.Born:
+		change.What = "restarted"
+	case e.Searcher.Leaving && !known.Searcher.Leaving:
+		change.What = "draining"
+	}
+	return change, change.What != ""
+}
+
+// Remove notes that an entry was removed. It is gone at once, unless the store
+// was away just now.
+func (d *Directory) Remove(id SearcherID, revision Revision, now time.Time) (Change, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.entries[id]
+	if revision < known.Revision {
+		return Change{}, false
+	}
+	d.removed[id] = max(d.removed[id], revision)
+	if !ok {
+		return Change{}, false
+	}
+	return d.miss(known, now)
+}
+
+// miss drops an entry that is no longer listed, or waits for its return.
+func (d *Directory) miss(known Entry, now time.Time) (Change, bool) {
+	id := known.Searcher.ID
+	if d.away || now.Sub(d.returned) < returnGrace && !d.returned.IsZero() {
+		if _, ok := d.missing[id]; !ok {
+			d.missing[id] = now
+		}
+		return Change{}, false
+	}
+	delete(d.entries, id)
+	delete(d.missing, id)
+	return Change{ID: id, Service: known.Searcher.Service, What: "gone", Revision: d.removed[id]}, true
+}
+
+// Replace takes a whole listing over, which began at a revision: what it lacks
+// is no longer listed, unless it was written since.
+func (d *Directory) Replace(listed Entries, began Revision, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changes []Change
+	present := make(map[SearcherID]bool, len(listed))
+	for _, e := range listed {
+		present[e.Searcher.ID] = true
+		if c, ok := d.put(e); ok {
+			changes = append(changes, c)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if known := d.entries[id]; !present[id] && known.Revision <= began {
+			if c, ok := d.miss(known, now); ok {
+				changes = append(changes, c)
+			}
+		}
+	}
+	return changes
+}
+
+// Settle drops the entries that have not come back since the store returned.
+func (d *Directory) Settle(now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away || now.Sub(d.returned) < returnGrace {
+		return nil
+	}
+	var changes []Change
+	for _, id := range slices.Sorted(maps.Keys(d.missing)) {
+		if c, ok := d.miss(d.entries[id], now); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// Entries returns what is known, in the order of the ids.
+func (d *Directory) Entries() Entries {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make(Entries, 0, len(d.entries))
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		all = append(all, d.entries[id])
+	}
+	return all
+}
--- /dev/null
+++ b/core/hysroute/configuration.go
@@ -0,0 +1,111 @@
+package hysroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"hyssopshore/core/hysquery"
+	"hyssopshore/core/hysservice"
+)
+
+// Version orders configurations; it only rises.
+type Version int64
+
+// Service is what the operators have set for a service.
+type Service struct {
+	Name hysservice.Name
+	// MaxConnections is how many connections one searcher accepts from all
+	// callers together; 0 stands for no limit.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound the sizes; 0 stands for no limit.
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout is how long a caller may take to send a head.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may lie idle.
+	IdleTimeout time.Duration
+}
+
+// Configuration is one version of the routes. It is safe for concurrent use.
+type Configuration struct {
+	Version  Version
+	Routes   Routes
+	Services map[hysservice.Name]Service
+	Limits   Limits
+
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost map[string]Routes
+}
+
+// Skipped is a route that a configuration leaves out, and why.
+type Skipped struct {
+	Route Name
+	Err   error
+}
+
+// NewConfiguration returns a configuration of the valid routes, and the others.
+func NewConfiguration(version Version, routes Routes, services []Service, limits Limits) (*Configuration, []Skipped) {
+	c := &Configuration{
+		Version: version, Limits: limits,
+		Services: make(map[hysservice.Name]Service, len(services)),
+		byHost:   make(map[string]Routes),
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	var skipped []Skipped
+	for _, r := range routes {
+		r.Defaults()
+		if err := r.Validate(); err != nil {
+			skipped = append(skipped, Skipped{Route: r.Name, Err: err})
+			continue
+		}
+		c.Routes = append(c.Routes, r)
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.Prefix), len(a.Prefix))
+		})
+	}
+	c.classify()
+	return c, skipped
+}
+
+// classify makes the routes of the best priority of each service urgent.
+func (c *Configuration) classify() {
+	best := make(map[hysservice.Name]Priority)
+	for _, r := range c.Routes {
+		for _, s := range r.Services() {
+			if known, ok := best[s]; !ok || r.Priority < known {
+				best[s] = r.Priority
+			}
+		}
+	}
+	for _, r := range c.Routes {
+		r.Class = hysquery.ClassUrgent
+		for _, s := range r.Services() {
+			if best[s] < r.Priority {
+				r.Class = hysquery.ClassBulk
+			}
+		}
+	}
+}
+
+// Match returns the route of a host and a path: of those whose prefix begins
+// the path the one with the longest prefix.
+func (c *Configuration) Match(host, path string) (*Route, bool) {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/io/hysforward/connection.go
@@ -0,0 +1,210 @@
+package hysforward
+
+import (
+	"bufio"
+	"context"
+	stderrors "errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"hyssopshore/core/hysmessage"
+)
+
+// Errors of an exchange.
+const (
+	// ErrGarbled means that what came is not the searcher's whole response.
+	ErrGarbled = errors.ConstError("the response is garbled")
+	// ErrNothingRead means that the connection ended before any byte came.
+	ErrNothingRead = errors.ConstError("the connection ended before the response")
+)
+
+// Limits of a response.
+const (
+	maxResponse = 8 << 20
+	// maxForeign is how many responses to earlier requests are passed over.
+	maxForeign = 3
+	// maxInterim is how many interim responses are passed over.
+	maxInterim = 5
+	// inlineBody is the largest body that is written before the response is
+	// read. A searcher may answer before it has read a longer one.
+	inlineBody = 4 << 10
+)
+
+// idleMargin is how much earlier than the searcher a connection is given up.
+const idleMargin = time.Second
+
+// connection carries one request at a time to a searcher.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// used is set once a response has been read from it.
+	used    bool
+	expires time.Time
+}
+
+func newConnection(c net.Conn) *connection {
+	return &connection{Conn: c, reader: bufio.NewReader(c)}
+}
+
+// open reports whether the searcher has kept an idle connection open and sent
+// nothing on it.
+func (c *connection) open() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		idle = peekErr == unix.EAGAIN
+	})
+	return err == nil && idle
+}
+
+// outgoing is a request as it is written to a connection.
+type outgoing struct {
+	request *hysmessage.Request
+	// fields are the header fields that the system sets itself.
+	fields http.Header
+	// idField and id tell the response from others.
+	idField string
+	id      string
+}
+
+// received is a response and whether its connection may be used again.
+type received struct {
+	response *hysmessage.Response
+	reusable bool
+}
+
+// exchange sends a request and reads its response. The end of the context ends
+// it.
+func (c *connection) exchange(ctx context.Context, o outgoing) (received, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if len(o.request.Body) <= inlineBody {
+		if err := c.write(o); err != nil {
+			return received{}, fmt.Errorf("write: %w", err)
+		}
+		return c.readOwn(o)
+	}
+	written := make(chan error, 1)
+	go func() { written <- c.write(o) }()
+	r, err := c.readOwn(o)
+	select {
+	case writeErr := <-written:
+		r.reusable = r.reusable && writeErr == nil
+	default:
+		// The response came before the body was sent: the rest of the body must
+		// not be taken for a request.
+		r.reusable = false
+		_ = c.Close()
+		<-written
+	}
+	return r, err
+}
+
+func (c *connection) write(o outgoing) error {
+	var head strings.Builder
+	r := o.request
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if err := r.Header.Write(&head); err != nil {
+		return fmt.Errorf("head: %w", err)
+	}
+	if err := o.fields.Write(&head); err != nil {
+		return fmt.Errorf("head: %w", err)
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	buffers := net.Buffers{[]byte(head.String()), r.Body}
+	if _, err := buffers.WriteTo(c.Conn); err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	return nil
+}
+
+// readOwn reads the response to the request, past late ones to earlier
+// requests.
+func (c *connection) readOwn(o outgoing) (received, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return received{}, fmt.Errorf("%w: %w", ErrNothingRead, err)
+	}
+	for range maxForeign {
+		r, err := c.read(o.request.Method)
+		if err != nil {
+			return received{}, err
+		}
+		id := r.response.Header.Get(o.idField)
+		if id == "" || id == o.id {
+			return r, nil
+		}
+	}
+	return received{}, fmt.Errorf("responses to other requests: %w", ErrGarbled)
+}
+
+// read reads one final response.
+func (c *connection) read(method string) (received, error) {
+	response, err := c.readHead(method)
+	if err != nil {
+		return received{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
+	closeErr := response.Body.Close()
+	if err := stderrors.Join(err, closeErr); err != nil {
+		return received{}, fmt.Errorf("body: %w: %w", ErrGarbled, err)
+	}
+	if len(body) > maxResponse {
+		return received{}, fmt.Errorf("body of over %d bytes: %w", maxResponse, ErrGarbled)
+	}
+	c.used = true
+	c.expires = time.Now().Add(idleTime(response.Header))
+	return received{
+		response: &hysmessage.Response{Status: response.StatusCode, Header: response.Header, Body: body},
+		reusable: !response.Close && c.reader.Buffered() == 0,
+	}, nil
+}
+
+func (c *connection) readHead(method string) (*http.Response, error) {
+	for range maxInterim {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("head: %w: %w", ErrGarbled, err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, fmt.Errorf("interim responses only: %w", ErrGarbled)
+}
+
+// idleTime is how long a connection may be kept, as the searcher says.
+func idleTime(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil {
+			return defaultIdleTime
+		}
+		whole := time.Duration(seconds) * time.Second
+		return max(whole-idleMargin, whole/2)
+	}
+	return defaultIdleTime
+}
--- /dev/null
+++ b/io/hysfront/front.go
@@ -0,0 +1,164 @@
+// Package hysfront runs a frontend daemon: it takes callers' requests as they
+// are, and dispatches them itself to the searchers that the store lists.
+//
+// Nothing is kept by the instance and nothing is agreed on between daemons: the
+// routes and the searchers come from the store, and each daemon has a share of
+// what all of them may use together.
+//
+// # Usage
+//
+//	f := hysfront.New(settings, source, headers, log)
+//	err := f.Run(ctx, reload) // until the context ends and the daemon has drained
+package hysfront
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopshore/core/hysbudget"
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysroute"
+	"hyssopshore/core/hysservice"
+	"hyssopshore/io/hysforward"
+	"hyssopshore/io/hysingress"
+	"hyssopshore/io/hysmetrics"
+)
+
+// The hedging of requests.
+const (
+	hedgePercent = 90
+	// unknownDelay is the delay while a shard's latencies are not known.
+	unknownDelay = 40 * time.Millisecond
+	// hedgeReserve is what hedges leave of the budget for retries.
+	hedgeReserve = 1
+	// lingerTime is how long a send that another one has overtaken may go on.
+	lingerTime = 300 * time.Millisecond
+)
+
+// memoryPart is the part of the allowed memory at which garbage is collected
+// harder.
+const memoryPart = 0.7
+
+// Front is one frontend daemon.
+type Front struct {
+	settings   Settings
+	source     Source
+	log        *slog.Logger
+	metrics    *hysmetrics.Metrics
+	directory  *hysmember.Directory
+	forward    *hysforward.Client
+	dispatcher *hysdispatch.Dispatcher
+	ingress    *hysingress.Ingress
+	state      atomic.Pointer[hysroute.Configuration]
+	// listed is set once the list of searchers has been read.
+	listed  atomic.Bool
+	leaving atomic.Bool
+	// instances is how many daemons share the budgets and the connections.
+	instances atomic.Int64
+	store     dependency
+
+	// Lock order: mu, then the dispatcher's locks, then budgetMu.
+	mu sync.Mutex
+	// assigned are the services that the dispatcher has searchers of.
+	assigned map[hysservice.Name]bool
+	budgetMu sync.Mutex
+	budgets  map[hysservice.Name]*hysbudget.Budget
+}
+
+// New returns a daemon that is not yet started.
+func New(s Settings, source Source, headers hysingress.Headers, log *slog.Logger) *Front {
+	f := &Front{
+		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
+		directory: hysmember.NewDirectory(),
+		budgets:   make(map[hysservice.Name]*hysbudget.Budget),
+		assigned:  make(map[hysservice.Name]bool),
+	}
+	f.instances.Store(unknownInstances)
+	f.forward = hysforward.New(hysforward.Headers{
+		RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
+		Searcher: headers.Searcher, NotRun: headers.NotRun,
+	}, hysforward.WithConnectionCap(f.connectionCap))
+	f.dispatcher = hysdispatch.New(f.forward.Send,
+		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: hedgePercent, Unknown: unknownDelay, Reserve: hedgeReserve}),
+		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime))
+	f.ingress = &hysingress.Ingress{
+		Headers: headers, State: f.state.Load, Submit: f.dispatcher.Submit,
+		Observe: f.observe, Closing: f.leaving.Load,
+	}
+	return f
+}
+
+// Run serves until the context ends, then drains and stops. Each value of
+// reload asks to read the settings again.
+func (f *Front) Run(ctx context.Context, reload <-chan Settings) error {
+	if f.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(f.settings.MemoryBytes)))
+	}
+	servers, err := f.listen()
+	if err != nil {
+		return fmt.Errorf("Front.Run: %w", err)
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	wait := f.startLoops(background)
+	f.log.Info("started", "callers", f.settings.CallerAddress, "readiness", f.settings.ReadinessAddress,
+		"store", f.settings.StoreAddress, "zone", f.settings.Zone, "stop-grace", f.settings.StopGrace)
+	f.serve(ctx, reload)
+	f.drain(servers)
+	stop()
+	wait.Wait()
+	f.forward.Close()
+	f.metrics.Close()
+	f.log.Info("stopped")
+	return nil
+}
+
+func (f *Front) serve(ctx context.Context, reload <-chan Settings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-reload:
+			f.reload(s)
+		}
+	}
+}
+
+// reload takes over what may change while the daemon runs.
+func (f *Front) reload(s Settings) {
+	f.log.Info("settings reloaded", "stop-grace", s.StopGrace, "retry-share", s.RetryShare, "retry-slack", s.RetrySlack)
+	f.mu.Lock()
+	f.settings.StopGrace = s.StopGrace
+	f.settings.RetrySlack = s.RetrySlack
+	f.mu.Unlock()
+	f.shareBudgets()
+}
+
+func (f *Front) startLoops(ctx context.Context) *sync.WaitGroup {
+	var wait sync.WaitGroup
+	wait.Go(func() { f.followConfiguration(ctx) })
+	wait.Go(func() { f.followSearchers(ctx) })
+	wait.Go(func() { f.announce(ctx) })
+	wait.Go(func() { f.dispatcher.Run(ctx) })
+	return &wait
+}
+
+// ready reports whether new callers should come to this daemon.
+func (f *Front) ready() bool {
+	return f.state.Load() != nil && f.listed.Load() && !f.leaving.Load()
+}
+
+func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !f.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/io/hysfront/settings.go
@@ -0,0 +1,89 @@
+package hysfront
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hyssopshore/core/hysmember"
+)
+
+// ErrInvalid means that a setting can't be used; the message names it.
+const ErrInvalid = errors.ConstError("invalid setting")
+
+// Defaults of the settings.
+const (
+	defaultStopGrace   = 6 * time.Second
+	defaultRetryShare  = 0.1
+	defaultRetrySlack  = 10
+	defaultRetryWindow = 10 * time.Second
+	defaultMinLease    = time.Second
+)
+
+// Settings are what a frontend daemon is started with.
+type Settings struct {
+	Instance hysmember.InstanceID
+	Zone     hysmember.Zone
+	Region   hysmember.Region
+	// Regions holds the region of each availability zone.
+	Regions map[hysmember.Zone]hysmember.Region
+	// Address is the IP number of the instance.
+	Address          string
+	CallerAddress    hysmember.Address
+	ReadinessAddress hysmember.Address
+	StoreAddress     hysmember.Address
+	// MemoryBytes is what the process may use; 0 stands for no limit.
+	MemoryBytes int64
+	// StopGrace is how long after SIGTERM the process may still run.
+	StopGrace time.Duration
+	// RetryShare and RetrySlack bound the sends of all daemons beyond the first
+	// of each request, in each RetryWindow: a share of the requests and a count.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// MinLease is the shortest lease of the store.
+	MinLease time.Duration
+}
+
+// Defaults fills in what was left out.
+func (s *Settings) Defaults() {
+	if s.StopGrace == 0 {
+		s.StopGrace = defaultStopGrace
+	}
+	if s.RetryShare == 0 {
+		s.RetryShare = defaultRetryShare
+	}
+	if s.RetrySlack == 0 {
+		s.RetrySlack = defaultRetrySlack
+	}
+	if s.RetryWindow == 0 {
+		s.RetryWindow = defaultRetryWindow
+	}
+	if s.MinLease == 0 {
+		s.MinLease = defaultMinLease
+	}
+}
+
+// Validate returns the first setting that can't be used.
+func (s *Settings) Validate() error {
+	if s.Instance == "" {
+		return fmt.Errorf("Settings.Validate: no instance: %w", ErrInvalid)
+	}
+	if s.Zone == "" || s.Region == "" {
+		return fmt.Errorf("Settings.Validate: no availability zone or region: %w", ErrInvalid)
+	}
+	addresses := map[string]hysmember.Address{
+		"caller-address": s.CallerAddress, "readiness-address": s.ReadinessAddress, "store-address": s.StoreAddress,
+	}
+	for name, address := range addresses {
+		if _, err := netip.ParseAddrPort(string(address)); err != nil {
+			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
+		}
+	}
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 {
+		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/hysingress/query.go
@@ -0,0 +1,80 @@
+package hysingress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysgather"
+	"hyssopshore/core/hysmerge"
+	"hyssopshore/core/hyspartial"
+)
+
+// runQuery answers a request that a searcher of each shard runs.
+func (e *exchange) runQuery(ctx context.Context) {
+	shards := e.route.Shards
+	s := &hysgather.Spread{
+		Submit: e.ingress.Submit, Deadline: e.deadline,
+		Policy: hyspartial.Policy{
+			Shards: len(shards), Minimum: e.route.MinimumShards(),
+			Goal: e.start.Add(max(e.route.Goal-replyMargin, e.route.Goal/2)),
+		},
+	}
+	for _, service := range shards {
+		s.SubRequests = append(s.SubRequests, e.subRequest(service))
+	}
+	result := s.Run(ctx)
+	e.record.Shards, e.record.Answered = len(shards), result.Answered
+	for _, reply := range result.Replies {
+		e.record.Sends += reply.Sends
+	}
+	switch {
+	case result.Verdict == hyspartial.VerdictAnswer:
+		e.answer(result)
+	case ctx.Err() != nil:
+		e.abandon()
+	case result.NotRun():
+		e.refuse(firstReason(result), result.RetryAfter())
+	default:
+		e.fail(http.StatusGatewayTimeout, firstReason(result))
+	}
+}
+
+// firstReason is why the first shard without a part has none.
+func firstReason(r hysgather.Spreading) string {
+	for i, reply := range r.Replies {
+		if r.Replied[i] && !hysgather.HasPart(reply) {
+			return reply.Reason
+		}
+	}
+	return "too few shards answered in time"
+}
+
+// answer merges the parts that have come.
+func (e *exchange) answer(r hysgather.Spreading) {
+	var signatures []string
+	var parts [][]byte
+	for _, reply := range r.Replies {
+		if hysgather.HasPart(reply) {
+			signatures = append(signatures, e.signature(reply))
+			parts = append(parts, reply.Message.Body)
+		}
+	}
+	e.record.Outcome = OutcomeServed
+	if r.Answered < len(r.Replies) {
+		e.record.Outcome = OutcomePartial
+	}
+	names := e.ingress.Headers
+	e.write(http.StatusOK, http.Header{
+		"Content-Type":   {"application/octet-stream"},
+		names.RequestID:  {string(e.record.ID)},
+		names.Signatures: {strings.Join(signatures, ", ")},
+		names.Missing:    {strconv.Itoa(len(r.Replies) - r.Answered)},
+	}, hysmerge.Greatest(parts, e.route.TopK))
+}
+
+func (e *exchange) signature(reply hysdispatch.SubReply) string {
+	return reply.Message.Header.Get(e.ingress.Headers.Signature)
+}
--- /dev/null
+++ b/io/hysingress/single.go
@@ -0,0 +1,38 @@
+package hysingress
+
+import (
+	"context"
+	"net/http"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysquery"
+)
+
+// runSingle answers a request that one searcher runs.
+func (e *exchange) runSingle(ctx context.Context) {
+	service := e.route.Pick()
+	e.record.Service = service
+	reply := e.ingress.Submit(ctx, e.subRequest(service))
+	e.record.Sends, e.record.Searcher, e.record.Reason = reply.Sends, string(reply.Searcher), reply.Reason
+	switch {
+	case reply.Message != nil:
+		e.passBack(reply)
+	case ctx.Err() != nil:
+		e.abandon()
+	case reply.NotSent:
+		e.refuse(reply.Reason, reply.RetryAfter)
+	case reply.Status == hysquery.ShardTimeout:
+		e.fail(http.StatusGatewayTimeout, reply.Reason)
+	default:
+		e.fail(http.StatusBadGateway, reply.Reason)
+	}
+}
+
+// passBack gives the caller the searcher's response.
+func (e *exchange) passBack(reply hysdispatch.SubReply) {
+	e.record.Outcome = OutcomeServed
+	if !reply.Message.Succeeded() {
+		e.record.Outcome = OutcomePassed
+	}
+	e.write(reply.Message.Status, reply.Message.Header, reply.Message.Body)
+}
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -136,6 +136,15 @@
 	m.observeCoverage(service, a.Coverage)
 }
 
+// ObserveRequest counts a request that was passed on as it was.
+func (m *Metrics) ObserveRequest(route, outcome string, latency time.Duration, sends int) {
+	name := m.label(m.groups, maxGroups, route)
+	m.scope.Tagged(map[string]string{"route": name, "outcome": outcome}).Counter("route_requests_total").Inc(1)
+	scope := m.scope.Tagged(map[string]string{"route": name})
+	scope.Counter("route_sends_total").Inc(int64(sends))
+	scope.Histogram("route_request_seconds", m.buckets).RecordDuration(latency)
+}
+
 func (m *Metrics) observeCoverage(service string, coverage hysquery.Coverage) {
 	counts := make(map[hysquery.ShardStatus]int64)
 	for _, c := range coverage {
