--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -41,29 +41,29 @@
 	c.push(sends)
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
-	reply, answered := c.await(ctx, sends, hedge)
+	reply := c.await(ctx, sends, hedge)
 	c.abandon()
-	c.release(answered, cancel)
+	c.release(ctx, cancel)
 	reply.Sends = len(c.sends)
 	return reply
 }
 
-// await returns the final reply, and whether a searcher has given it.
-func (c *call) await(ctx, sends context.Context, hedge *time.Timer) (SubReply, bool) {
+// await returns the final reply.
+func (c *call) await(ctx, sends context.Context, hedge *time.Timer) SubReply {
 	for c.running > 0 {
 		select {
 		case <-ctx.Done():
-			return c.timeout(), false
+			return c.timeout()
 		case <-hedge.C:
 			hedge.Reset(c.hedge(sends))
 		case o := <-c.results:
 			c.running--
 			if reply, done := c.settle(ctx, sends, o); done {
-				return reply, true
+				return reply
 			}
 		}
 	}
-	return c.failed(), false
+	return c.failed()
 }
 
 // push queues the first send.
--- a/core/hysgather/spread.go
+++ b/core/hysgather/spread.go
@@ -42,8 +42,10 @@
 // Run sends the sub-requests and returns as soon as the policy has decided. The
 // end of the context cancels what runs.
 func (s *Spread) Run(ctx context.Context) Spreading {
-	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
-	defer cancel()
+	ctx, stop := context.WithDeadline(ctx, s.Deadline)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(hysdispatch.ErrEnough)
 	replies := make(chan indexedReply, len(s.SubRequests))
 	for i, sub := range s.SubRequests {
 		go func() { replies <- indexedReply{index: i, reply: s.Submit(ctx, sub)} }()
--- a/io/hysforward/send.go
+++ b/io/hysforward/send.go
@@ -26,11 +26,9 @@
 	}
 	reused := conn.used
 	result, err := c.exchange(ctx, s, conn, sub)
-	if reused && sub.Idempotent && ctx.Err() == nil && errors.Is(err, ErrNothingRead) {
+	if reused && result.Fault == hysdispatch.FaultLost && errors.Is(err, ErrNothingRead) {
 		// The searcher may have closed an idle connection.
-		if conn, err := c.connect(ctx, s); err == nil {
-			result, _ = c.exchange(ctx, s, conn, sub)
-		}
+		result.Fault = hysdispatch.FaultSilent
 	}
 	return result
 }
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -12,15 +13,16 @@
 
 // Rhythm of the reads of the store.
 const (
-	// configurationWait is how long a watch for a configuration waits.
-	configurationWait = 15 * time.Second
-	// listPace is how often the changes of the list are read. They are read
-	// together, since each heartbeat is one.
-	listPace = 1200 * time.Millisecond
-	// listWait is how long a watch waits if nothing has changed.
-	listWait = 2 * time.Second
-	// errorPause is the time between calls that fail.
-	errorPause = 250 * time.Millisecond
+	// watchWait is how long a watch waits if nothing changes. It bounds how
+	// long one that hears nothing of the changes is believed.
+	watchWait = 2 * time.Second
+	// busyPace is the time between watches that heard of nothing that matters.
+	busyPace = 1200 * time.Millisecond
+	// pace is the least time between watches.
+	pace = 200 * time.Millisecond
+	// minErrorPause and maxErrorPause bound the time between calls that fail.
+	minErrorPause = 200 * time.Millisecond
+	maxErrorPause = time.Second
 )
 
 // dependency is whether something that the daemon needs is there. It is safe
@@ -53,10 +55,10 @@
 	return time.Since(d.at), true
 }
 
-func (f *Front) storeFailed(call string, err error) {
+func (f *Front) storeFailed(err error) {
 	f.directory.Lose()
 	if f.store.lose() {
-		f.log.Warn("store lost", "call", call, "error", err)
+		f.log.Warn("store lost", "error", err)
 	}
 }
 
@@ -67,22 +69,6 @@
 	}
 }
 
-// settle notes how a call of the store ended and pauses after a failure.
-func (f *Front) settle(ctx context.Context, call string, err error) {
-	switch {
-	case err == nil:
-		f.storeServed()
-		return
-	case ctx.Err() != nil:
-		return
-	case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrNone):
-		f.storeServed()
-	default:
-		f.storeFailed(call, err)
-	}
-	sleep(ctx, errorPause)
-}
-
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
@@ -92,101 +78,107 @@
 	}
 }
 
-// followConfiguration keeps the configuration at the newest.
-func (f *Front) followConfiguration(ctx context.Context) {
-	for after := hysmember.Revision(0); ctx.Err() == nil; {
-		var c Configured
-		var err error
-		if after == 0 {
-			c, err = f.source.Configuration(ctx)
-		} else {
-			c, err = f.source.WatchConfiguration(ctx, after, configurationWait)
+// follow keeps the configuration and the list of the searchers at the newest.
+func (f *Front) follow(ctx context.Context) {
+	after, failures := hysmember.Revision(0), 0
+	for ctx.Err() == nil {
+		next, rest, err := f.followOnce(ctx, after)
+		f.noteChanges(f.directory.Settle(time.Now()))
+		switch {
+		case err == nil:
+			after, failures = next, 0
+		case errors.Is(err, ErrHistoryGone):
+			f.log.Info("history gone, reading everything again", "after", after)
+			after = 0
+		case ctx.Err() == nil:
+			f.storeFailed(err)
+			rest = min(minErrorPause<<min(failures, maxDoublings), maxErrorPause)
+			failures++
 		}
-		f.settle(ctx, "configuration", err)
+		sleep(ctx, rest)
+	}
+}
+
+// maxDoublings keeps the error pause from overflowing.
+const maxDoublings = 8
+
+// followOnce reads everything, or what has changed after a revision. It returns
+// where the next call goes on and how long it may wait.
+func (f *Front) followOnce(ctx context.Context, after hysmember.Revision) (hysmember.Revision, time.Duration, error) {
+	if after == 0 {
+		s, err := f.source.Read(ctx)
 		if err != nil {
-			// What changed meanwhile may be missing from a watch.
-			after = 0
-			continue
+			return 0, 0, fmt.Errorf("read everything: %w", err)
 		}
-		after = c.Revision
-		f.configure(c)
+		f.take(s)
+		return s.Began, 0, nil
+	}
+	c, err := f.source.Watch(ctx, after, watchWait)
+	if err != nil {
+		return 0, 0, fmt.Errorf("watch after %d: %w", after, err)
+	}
+	if c.Events == 0 && c.Revision > after {
+		// Something has changed that the watch was not told of.
+		return 0, 0, fmt.Errorf("watch after %d heard nothing up to %d: %w", after, c.Revision, ErrHistoryGone)
 	}
+	changed := f.update(c)
+	rest := pace
+	if c.Events > 0 && !changed {
+		rest = busyPace
+	}
+	return max(after, c.Revision), rest, nil
 }
 
-// configure puts a configuration in force unless a newer one is.
-func (f *Front) configure(c Configured) {
+// configure puts a configuration in force unless a newer one is. It reports
+// whether it did.
+func (f *Front) configure(c Configured) bool {
 	for _, s := range c.Skipped {
 		f.log.Warn("route left out", "route", s.Route, "error", s.Err)
 	}
 	next, known := c.Configuration, f.state.Load()
 	if next == nil || known != nil && next.Version <= known.Version {
-		return
+		return false
 	}
 	f.state.Store(next)
 	f.log.Info("configuration in force", "version", next.Version, "revision", c.Revision, "routes", len(next.Routes))
 	f.assign()
+	return true
 }
 
-// followSearchers keeps the list of the searchers.
-func (f *Front) followSearchers(ctx context.Context) {
-	for after := hysmember.Revision(0); ctx.Err() == nil; {
-		started := time.Now()
-		next, err := f.readSearchers(ctx, after)
-		f.settle(ctx, "searchers", err)
-		f.noteChanges(f.directory.Settle(time.Now()))
-		after = next
-		if err == nil {
-			sleep(ctx, listPace-time.Since(started))
-		}
-	}
-}
-
-// readSearchers reads the whole list, or what has changed after a revision. It
-// returns where the next call goes on.
-func (f *Front) readSearchers(ctx context.Context, after hysmember.Revision) (hysmember.Revision, error) {
-	if after > 0 {
-		u, err := f.source.WatchSearchers(ctx, after, listWait)
-		if err != nil {
-			return 0, err
-		}
-		f.update(u)
-		return u.Revision, nil
-	}
-	l, err := f.source.Searchers(ctx)
-	if err != nil {
-		return 0, err
-	}
-	for _, m := range l.Malformed {
+// take takes a snapshot of the store over.
+func (f *Front) take(s Snapshot) {
+	// What the store lacks now may come back for a while if it was away.
+	f.storeServed()
+	for _, m := range s.Malformed {
 		f.log.Warn("entry not used", "searcher", m.ID, "revision", m.Revision, "error", m.Err)
 	}
-	// The store serves again: what it lacks now may come back for a while.
-	f.storeServed()
-	changes := f.directory.Replace(l.Entries, l.Began, time.Now())
+	changes := f.directory.Replace(s.Entries, s.Began, time.Now())
 	f.listed.Store(true)
 	f.noteChanges(changes)
-	return l.Began, nil
+	f.configure(s.Configured)
 }
 
-// update takes changes of the list over.
-func (f *Front) update(u Updates) {
+// update takes changes over and reports whether one mattered.
+func (f *Front) update(c Changes) bool {
 	f.storeServed()
 	var changes []hysmember.Change
-	for _, n := range u.Updates {
-		if n.Malformed != nil {
-			f.log.Warn("entry not used", "searcher", n.ID, "revision", n.Revision, "error", n.Malformed)
-		}
-		var c hysmember.Change
-		var ok bool
-		if n.Removed || n.Malformed != nil {
-			c, ok = f.directory.Remove(n.ID, n.Revision, time.Now())
-		} else {
-			c, ok = f.directory.Put(n.Entry)
-		}
-		if ok {
-			changes = append(changes, c)
+	for _, u := range c.Updates {
+		if change, ok := f.updateEntry(u); ok {
+			changes = append(changes, change)
 		}
 	}
 	f.noteChanges(changes)
+	return f.configure(c.Configured) || len(changes) > 0
+}
+
+func (f *Front) updateEntry(u Update) (hysmember.Change, bool) {
+	if u.Malformed != nil {
+		f.log.Warn("entry not used", "searcher", u.ID, "revision", u.Revision, "error", u.Malformed)
+	}
+	if u.Removed || u.Malformed != nil {
+		return f.directory.Remove(u.ID, u.Revision, time.Now())
+	}
+	return f.directory.Put(u.Entry)
 }
 
 func (f *Front) noteChanges(changes []hysmember.Change) {
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -143,8 +143,7 @@
 
 func (f *Front) startLoops(ctx context.Context) *sync.WaitGroup {
 	var wait sync.WaitGroup
-	wait.Go(func() { f.followConfiguration(ctx) })
-	wait.Go(func() { f.followSearchers(ctx) })
+	wait.Go(func() { f.follow(ctx) })
 	wait.Go(func() { f.announce(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
 	return &wait
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -14,29 +14,25 @@
 const (
 	// ErrHistoryGone means that changes are missing: read the whole again.
 	ErrHistoryGone = errors.ConstError("the history is gone")
-	// ErrNone means that there is nothing yet.
-	ErrNone = errors.ConstError("there is nothing yet")
 	// ErrLeaseEnded means that a lease has ended.
 	ErrLeaseEnded = errors.ConstError("the lease has ended")
 )
 
 // Configured is a configuration as it lies in the store.
 type Configured struct {
-	// Configuration is nil if nothing has changed.
+	// Configuration is nil if there is none, or none that is new.
 	Configuration *hysroute.Configuration
 	Skipped       []hysroute.Skipped
-	// Revision is where a watch goes on.
-	Revision hysmember.Revision
+	Revision      hysmember.Revision
 }
 
-// Listing is the whole list of the searchers.
-type Listing struct {
-	Entries   hysmember.Entries
-	Malformed []Malformed
+// Snapshot is the configuration and the whole list of the searchers.
+type Snapshot struct {
+	Configured Configured
+	Entries    hysmember.Entries
+	Malformed  []Malformed
 	// Began is the revision of the store at which the reading began.
 	Began hysmember.Revision
-	// Calls is how many calls it took.
-	Calls int
 }
 
 // Malformed is an entry that names no searcher to use.
@@ -57,10 +53,14 @@
 	Malformed error
 }
 
-// Updates are the changes of the list since a revision, in their order.
-type Updates struct {
-	Updates  []Update
+// Changes are what has changed since a revision, in its order.
+type Changes struct {
+	Configured Configured
+	Updates    []Update
+	// Revision is where the next watch goes on.
 	Revision hysmember.Revision
+	// Events counts the changes of all keys, of whatever kind.
+	Events int
 }
 
 // LeaseID identifies a lease of the store.
@@ -69,14 +69,10 @@
 // Source reads the store. Errors other than those of this package mean that the
 // store does not serve this instance now.
 type Source struct {
-	// Configuration reads the newest configuration.
-	Configuration func(context.Context) (Configured, error)
-	// WatchConfiguration waits for a newer one.
-	WatchConfiguration func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Configured, error)
-	// Searchers reads the whole list.
-	Searchers func(context.Context) (Listing, error)
-	// WatchSearchers waits for changes of the list.
-	WatchSearchers func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Updates, error)
+	// Read reads the configuration and the whole list.
+	Read func(context.Context) (Snapshot, error)
+	// Watch waits until any key has changed since a revision.
+	Watch func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Changes, error)
 	// Announce lists an instance for as long as its lease holds.
 	Announce func(context.Context, hysmember.InstanceID, time.Duration) (LeaseID, error)
 	// Renew keeps the lease of an announced instance.
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -23,6 +23,7 @@
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysgroup"
+	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysmessage"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysroute"
@@ -75,6 +76,8 @@
 	// Shards is how many there are, Answered how many the answer covers.
 	Shards   int
 	Answered int
+	// Missing says of each shard without a part why it has none.
+	Missing []Missing
 	// Sends is how many sends to searchers were made.
 	Sends int
 	// Searcher is the one whose response was passed on.
@@ -82,6 +85,15 @@
 	RetryAfter time.Duration
 }
 
+// Missing is a shard that an answer does not cover.
+type Missing struct {
+	Service  hysservice.Name      `json:"service"`
+	Searcher hysmember.SearcherID `json:"searcher,omitempty"`
+	Status   hysquery.ShardStatus `json:"-"`
+	Reason   string               `json:"reason"`
+	Sends    int                  `json:"sends"`
+}
+
 // Seams of an Ingress.
 type (
 	// StateFunc returns the configuration in force, nil while there is none.
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -10,6 +10,7 @@
 	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysmerge"
 	"hyssopshore/core/hyspartial"
+	"hyssopshore/core/hysservice"
 )
 
 // runQuery answers a request that a searcher of each shard runs.
@@ -30,6 +31,7 @@
 	for _, reply := range result.Replies {
 		e.record.Sends += reply.Sends
 	}
+	e.record.Missing = missing(shards, result)
 	switch {
 	case result.Verdict == hyspartial.VerdictAnswer:
 		e.answer(result)
@@ -42,6 +44,23 @@
 	}
 }
 
+// missing says why shards have no part.
+func missing(shards []hysservice.Name, r hysgather.Spreading) []Missing {
+	var all []Missing
+	for i, reply := range r.Replies {
+		switch {
+		case !r.Replied[i]:
+			all = append(all, Missing{Service: shards[i], Reason: "no reply yet"})
+		case !hysgather.HasPart(reply):
+			all = append(all, Missing{
+				Service: shards[i], Searcher: reply.Searcher, Status: reply.Status,
+				Reason: reply.Reason, Sends: reply.Sends,
+			})
+		}
+	}
+	return all
+}
+
 // firstReason is why the first shard without a part has none.
 func firstReason(r hysgather.Spreading) string {
 	for i, reply := range r.Replies {
