--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -68,16 +68,18 @@
 	slots   int
 	// limit is how many slots are used now. It starts at one for a cold
 	// replica, falls when it sheds load and grows with each answer.
-	limit   int
-	active  []*waiter
-	shards  []*shard
-	recent  estimate
-	latency time.Duration
-	used    time.Time
-	backoff time.Duration
-	pause   time.Duration
-	retryAt time.Time
-	jobs    chan job
+	limit  int
+	active []*waiter
+	shards []*shard
+	recent estimate
+	// reliability is kept apart from the backoff, which ends with one answer.
+	reliability reliability
+	latency     time.Duration
+	used        time.Time
+	backoff     time.Duration
+	pause       time.Duration
+	retryAt     time.Time
+	jobs        chan job
 }
 
 func newReplica(r Replica, slots int) *replica {
@@ -112,7 +114,7 @@
 // restart makes the replica cold.
 func (r *replica) restart() {
 	r.fire(triggerRestarted)
-	r.limit, r.latency, r.recent = 1, 0, estimate{}
+	r.limit, r.latency, r.recent, r.reliability = 1, 0, estimate{}, reliability{}
 	r.backoff, r.pause, r.retryAt = 0, 0, time.Time{}
 }
 
@@ -142,7 +144,8 @@
 
 // score orders free replicas; the lowest is the best.
 func (r *replica) score(now time.Time) float64 {
-	return float64(len(r.active)+1) * (r.expected(now) + time.Millisecond).Seconds()
+	wait := float64(len(r.active)+1) * (r.expected(now) + time.Millisecond).Seconds()
+	return wait + r.reliability.cost(now).Seconds()
 }
 
 func (r *replica) start(w *waiter, now time.Time) {
@@ -162,6 +165,9 @@
 	if result.Draining {
 		r.fire(triggerDraining)
 	}
+	if result.Fault != FaultCancelled {
+		r.reliability.record(now, result.Fault.countsAgainst())
+	}
 	switch result.Fault {
 	case FaultNone, FaultVersionGone, FaultEpochGone, FaultRejected, FaultFailed:
 		r.fire(triggerAnswered)
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -101,6 +101,16 @@
 	FaultStalled // stalled
 )
 
+// countsAgainst reports whether the fault is the searcher's.
+func (f Fault) countsAgainst() bool {
+	switch f {
+	case FaultRefused, FaultShed, FaultLost, FaultFailed, FaultStalled, FaultMisdirected:
+		return true
+	default:
+		return false
+	}
+}
+
 // Result is what one send to a searcher brought.
 type Result struct {
 	Fault      Fault
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -29,9 +29,17 @@
 	Revision Revision
 }
 
-// olderThan reports whether the entry was written before another of its id.
+// olderThan reports whether the searcher sent the entry before another of its
+// id. A report that was held up may be written after a later one.
 func (e Entry) olderThan(other Entry) bool {
-	return e.Revision < other.Revision
+	switch {
+	case e.Born != other.Born:
+		return e.Born < other.Born
+	case e.Sequence != other.Sequence:
+		return e.Sequence < other.Sequence
+	default:
+		return e.Revision < other.Revision
+	}
 }
 
 // Entries is a list of entries.
