--- /dev/null
+++ b/core/hysdispatch/load_test.go
@@ -0,0 +1,213 @@
+package hysdispatch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysbudget"
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquery"
+	"hyssopshore/core/hysservice"
+)
+
+// forwarding is a dispatcher as the frontend makes it, with a small budget.
+func forwarding(send hysdispatch.Sender) *hysdispatch.Dispatcher {
+	return hysdispatch.New(send,
+		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: 90, Unknown: 40 * time.Millisecond, Reserve: 1}),
+		hysdispatch.WithBudget(func(hysservice.Name) *hysbudget.Budget { return hysbudget.New(0.2, 5) }),
+		hysdispatch.WithLinger(100*time.Millisecond))
+}
+
+func forwarded(id int) hysdispatch.SubRequest {
+	sub := subRequest(fmt.Sprint("r-", id), 200*time.Millisecond)
+	sub.Epoch, sub.Version, sub.MaxRuns, sub.RetryNotRun = 1, 1, 2, true
+	return sub
+}
+
+var _ = Describe("searchers that refuse a part while they count as healthy", func() {
+	// The near replica and one of the far ones refuse 60 of 100 requests at once;
+	// the other far one answers all of them. The requests are rare, so that the
+	// pause after a refusal ends before the next one.
+	It("moves the load to the one that answers", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		var refused atomic.Int64
+		refuses := func(to hysmember.SearcherID) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return to != "s-2" && random.Float64() < 0.6
+		}
+		d := forwarding(func(_ context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			if refuses(to.ID) {
+				refused.Add(1)
+				return hysdispatch.Result{Fault: hysdispatch.FaultShed, NotSent: true}
+			}
+			span := 8 * time.Millisecond
+			if to.ID != "s-0" {
+				span = 25 * time.Millisecond
+			}
+			time.Sleep(span)
+			return hysdispatch.Result{}
+		})
+		all := replicas(3)
+		all[1].Distance, all[2].Distance = 16*time.Millisecond, 16*time.Millisecond
+		d.SetReplicas(service, all, 2)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go d.Run(ctx)
+		var answered atomic.Int64
+		var wait sync.WaitGroup
+		const requests, interval = 200, 20 * time.Millisecond
+		for i := range requests {
+			wait.Go(func() {
+				if d.Submit(context.Background(), forwarded(i)).Status == hysquery.ShardAnswered {
+					answered.Add(1)
+				}
+			})
+			time.Sleep(interval)
+		}
+		wait.Wait()
+		Expect(refused.Load()).To(BeNumerically("<", requests/10))
+		Expect(answered.Load()).To(BeNumerically(">", requests*90/100))
+	})
+})
+
+var _ = Describe("searchers that pause for a moment", func() {
+	// The near replica pauses once; the far one always takes longer.
+	It("stays with the near one", func() {
+		var pause atomic.Bool
+		var near atomic.Int64
+		d := forwarding(func(_ context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			if to.ID == "s-1" {
+				time.Sleep(12 * time.Millisecond)
+				return hysdispatch.Result{}
+			}
+			near.Add(1)
+			if pause.CompareAndSwap(true, false) {
+				time.Sleep(60 * time.Millisecond)
+			}
+			time.Sleep(2 * time.Millisecond)
+			return hysdispatch.Result{}
+		})
+		all := replicas(2)
+		all[1].Distance = 10 * time.Millisecond
+		d.SetReplicas(service, all, 2)
+		for i := range 20 {
+			d.Submit(context.Background(), forwarded(i))
+		}
+		pause.Store(true)
+		before := near.Load()
+		for i := range 20 {
+			d.Submit(context.Background(), forwarded(100+i))
+		}
+		Expect(near.Load()-before).To(BeNumerically(">=", 17), "sends to the near one after its pause")
+	})
+})
+
+var _ = Describe("the sends of a sub-request", func() {
+	It("go on after another one has answered, then end", func() {
+		ended := make(chan error, 1)
+		var sent searchers
+		d := forwarding(func(ctx context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			if sent.note(to.ID) > 1 {
+				return hysdispatch.Result{}
+			}
+			<-ctx.Done()
+			ended <- context.Cause(ctx)
+			return hysdispatch.Result{Fault: hysdispatch.FaultCancelled}
+		})
+		d.SetReplicas(service, replicas(2), 2)
+		started := time.Now()
+		Expect(d.Submit(context.Background(), forwarded(1)).Status).To(Equal(hysquery.ShardAnswered))
+		Eventually(ended).Should(Receive(MatchError(ContainSubstring("another one had answered"))))
+		Expect(time.Since(started)).To(BeNumerically(">", 100*time.Millisecond))
+	})
+
+	It("end at once when the caller has left", func() {
+		ended, begun := make(chan time.Time, 1), make(chan struct{})
+		d := forwarding(func(ctx context.Context, _ hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			close(begun)
+			<-ctx.Done()
+			ended <- time.Now()
+			return hysdispatch.Result{Fault: hysdispatch.FaultCancelled}
+		})
+		d.SetReplicas(service, replicas(1), 2)
+		ctx, leave := context.WithCancel(context.Background())
+		go d.Submit(ctx, forwarded(1))
+		<-begun
+		left := time.Now()
+		leave()
+		Expect((<-ended).Sub(left)).To(BeNumerically("<", 50*time.Millisecond))
+	})
+
+	It("of a non-idempotent one go on though the caller has left", func() {
+		begun, release := make(chan struct{}), make(chan struct{})
+		ended := make(chan error, 1)
+		d := forwarding(func(ctx context.Context, _ hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			close(begun)
+			<-release
+			ended <- ctx.Err()
+			return hysdispatch.Result{}
+		})
+		d.SetReplicas(service, replicas(1), 2)
+		ctx, leave := context.WithCancel(context.Background())
+		sub := forwarded(1)
+		sub.Idempotent = false
+		done := make(chan hysdispatch.SubReply, 1)
+		go func() { done <- d.Submit(ctx, sub) }()
+		<-begun
+		leave()
+		Expect((<-done).NotSent).To(BeFalse())
+		close(release)
+		Expect(<-ended).NotTo(HaveOccurred())
+	})
+
+	It("run on no more searchers than allowed, those that refused not counted", func() {
+		faults := []hysdispatch.Fault{hysdispatch.FaultShed, hysdispatch.FaultFailed, hysdispatch.FaultLost, hysdispatch.FaultNone}
+		var sent searchers
+		d := forwarding(func(_ context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			f := faults[sent.note(to.ID)-1]
+			return hysdispatch.Result{Fault: f, NotSent: f == hysdispatch.FaultShed}
+		})
+		d.SetReplicas(service, replicas(4), 2)
+		Expect(d.Submit(context.Background(), forwarded(1)).Status).NotTo(Equal(hysquery.ShardAnswered))
+		Expect(sent.count()).To(Equal(3))
+	})
+
+	It("of a non-idempotent one are repeated after a refusal, never after a failure", func() {
+		faults := []hysdispatch.Fault{hysdispatch.FaultShed, hysdispatch.FaultMisdirected, hysdispatch.FaultLost, hysdispatch.FaultNone}
+		var sent searchers
+		d := forwarding(func(_ context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+			f := faults[sent.note(to.ID)-1]
+			return hysdispatch.Result{Fault: f, NotSent: f == hysdispatch.FaultShed || f == hysdispatch.FaultMisdirected}
+		})
+		d.SetReplicas(service, replicas(4), 2)
+		sub := forwarded(1)
+		sub.Idempotent = false
+		reply := d.Submit(context.Background(), sub)
+		Expect(reply.NotSent).To(BeFalse())
+		Expect(sent.count()).To(Equal(3))
+	})
+
+	It("are refused at once if every searcher is leaving", func() {
+		d := forwarding(func(context.Context, hysmember.Searcher, hysdispatch.SubRequest) hysdispatch.Result {
+			return hysdispatch.Result{}
+		})
+		all := replicas(2)
+		all[0].Searcher.Leaving, all[1].Searcher.Leaving = true, true
+		d.SetReplicas(service, all, 2)
+		started := time.Now()
+		reply := d.Submit(context.Background(), forwarded(1))
+		Expect(reply.NotSent).To(BeTrue())
+		Expect(reply.RetryAfter).To(BeNumerically(">", 0))
+		Expect(time.Since(started)).To(BeNumerically("<", 50*time.Millisecond))
+	})
+})
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -218,7 +218,7 @@
 func (s *shard) patience(now time.Time) time.Duration {
 	fastest := time.Duration(-1)
 	for _, r := range s.replicas {
-		if e := r.expected(now); r.state() == stateServing && (fastest < 0 || e < fastest) {
+		if e := r.expected(now) + r.reliability.cost(now); r.state() == stateServing && (fastest < 0 || e < fastest) {
 			fastest = e
 		}
 	}
--- /dev/null
+++ b/core/hysmember/directory_test.go
@@ -0,0 +1,108 @@
+package hysmember_test
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+)
+
+// directoryStep is one step of testdata/directory.json: one of the actions, and
+// what is to be seen after it.
+type directoryStep struct {
+	AtMS    int                     `json:"at-ms"`
+	Put     hysmember.SearcherID    `json:"put"`
+	Remove  hysmember.SearcherID    `json:"remove"`
+	Replace *[]hysmember.SearcherID `json:"replace"`
+	Settle  *[]hysmember.SearcherID `json:"settle"`
+	Lose    bool                    `json:"lose"`
+	Regain  bool                    `json:"regain"`
+	Rev     hysmember.Revision      `json:"rev"`
+	Born    int64                   `json:"born"`
+	Seq     int64                   `json:"seq"`
+	Drains  json.RawMessage         `json:"leaving"`
+	Want    string                  `json:"want"`
+	Listed  *[]hysmember.SearcherID `json:"listed"`
+}
+
+func entry(id hysmember.SearcherID, rev hysmember.Revision) hysmember.Entry {
+	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id}, Revision: rev}
+}
+
+func (s directoryStep) run(d *hysmember.Directory, now time.Time) {
+	var change hysmember.Change
+	switch {
+	case s.Put != "":
+		e := entry(s.Put, s.Rev)
+		e.Born, e.Sequence, e.Searcher.Leaving = s.Born, s.Seq, string(s.Drains) == "true"
+		change, _ = d.Put(e)
+		Expect(change.What).To(Equal(s.Want))
+	case s.Remove != "":
+		change, _ = d.Remove(s.Remove, s.Rev, now)
+		Expect(change.What).To(Equal(s.Want))
+	case s.Replace != nil:
+		var entries hysmember.Entries
+		for _, id := range *s.Replace {
+			entries = append(entries, entry(id, s.Rev))
+		}
+		d.Replace(entries, s.Rev, now)
+	case s.Settle != nil:
+		gone := []hysmember.SearcherID{}
+		for _, c := range d.Settle(now) {
+			gone = append(gone, c.ID)
+		}
+		Expect(gone).To(Equal(*s.Settle))
+	case s.Lose:
+		d.Lose()
+	case s.Regain:
+		d.Regain(now)
+	default:
+		s.look(d)
+	}
+}
+
+func (s directoryStep) look(d *hysmember.Directory) {
+	listed, leaving := []hysmember.SearcherID{}, []hysmember.SearcherID{}
+	for _, e := range d.Entries() {
+		listed = append(listed, e.Searcher.ID)
+		if e.Searcher.Leaving {
+			leaving = append(leaving, e.Searcher.ID)
+		}
+	}
+	if s.Listed != nil {
+		Expect(listed).To(Equal(*s.Listed))
+		return
+	}
+	var want []hysmember.SearcherID
+	Expect(json.Unmarshal(s.Drains, &want)).To(Succeed())
+	Expect(leaving).To(ConsistOf(want))
+}
+
+var _ = Describe("the directory", func() {
+	var scripts []struct {
+		Name  string
+		Steps []directoryStep
+	}
+	data, err := os.ReadFile("testdata/directory.json")
+	if err == nil {
+		err = json.Unmarshal(data, &scripts)
+	}
+	if err != nil {
+		panic(err)
+	}
+	for _, s := range scripts {
+		It(s.Name, func() {
+			d := hysmember.NewDirectory()
+			start := time.Unix(1000, 0)
+			now := start
+			for _, step := range s.Steps {
+				now = start.Add(max(now.Sub(start), time.Duration(step.AtMS)*time.Millisecond))
+				step.run(d, now)
+			}
+		})
+	}
+})
