--- a/core/hysgather/spread.go
+++ b/core/hysgather/spread.go
@@ -58,13 +58,18 @@
 	defer goal.Stop()
 	for {
 		result.Verdict = s.Policy.Decide(time.Now(), result.Answered, result.Lost)
+		if result.Verdict == hyspartial.VerdictWait && ctx.Err() != nil {
+			result.Verdict = hyspartial.VerdictGiveUp
+		}
+		if result.Verdict == hyspartial.VerdictGiveUp {
+			cancel(hysdispatch.ErrEnough)
+			result.takeAll(replies)
+		}
 		if result.Verdict != hyspartial.VerdictWait {
 			return result
 		}
 		select {
 		case <-ctx.Done():
-			result.Verdict = hyspartial.VerdictGiveUp
-			return result
 		case <-goal.C:
 		case r := <-replies:
 			result.take(r)
@@ -81,6 +86,14 @@
 	r.Lost++
 }
 
+// takeAll takes the replies that are still to come, to know of each sub-request
+// whether it may have run. They come at once, since the context has ended.
+func (r *Spreading) takeAll(replies <-chan indexedReply) {
+	for pending := len(r.Replies) - r.Answered - r.Lost; pending > 0; pending-- {
+		r.take(<-replies)
+	}
+}
+
 // HasPart reports whether a reply holds a searcher's part. A searcher's failure
 // is none.
 func HasPart(r hysdispatch.SubReply) bool {
--- /dev/null
+++ b/io/hysingress/ingress_test.go
@@ -0,0 +1,211 @@
+package hysingress_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmessage"
+	"hyssopshore/core/hysquery"
+	"hyssopshore/core/hysroute"
+	"hyssopshore/core/hysservice"
+	"hyssopshore/internal/hyssuite"
+	"hyssopshore/io/hysingress"
+)
+
+func TestIngress(t *testing.T) {
+	hyssuite.Run(t, "Ingress")
+}
+
+var headers = hysingress.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Sig", Searcher: "X-Searcher",
+	NotRun: "X-Not-Run", Signatures: "X-Sigs", Missing: "X-Missing",
+}
+
+func configuration() *hysroute.Configuration {
+	c, _ := hysroute.NewConfiguration(3, hysroute.Routes{
+		{Name: "one", Host: "127.0.0.1", Prefix: "/one/", Idempotent: true, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Branches: hysroute.Branches{{Service: "roll", Weight: 1}}},
+		{Name: "all", Host: "127.0.0.1", Prefix: "/all/", Idempotent: true, Timeout: 2 * time.Second, Goal: 150 * time.Millisecond,
+			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, Minimum: 0.6},
+	}, nil, hysroute.Limits{HeaderBytes: 4000, BodyBytes: 1000})
+	return c
+}
+
+// scriptedReply is how a service answers.
+type scriptedReply struct {
+	Status       int    `json:"status"`
+	Body         string `json:"body"`
+	Ended        string `json:"ended"`
+	NotSent      bool   `json:"not-sent"`
+	RetryAfterMS int    `json:"retry-after-ms"`
+	AfterMS      int    `json:"after-ms"`
+}
+
+func (r scriptedReply) reply(service hysservice.Name) hysdispatch.SubReply {
+	reply := hysdispatch.SubReply{
+		NotSent: r.NotSent, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, Reason: r.Ended,
+	}
+	for s := hysquery.ShardAnswered; s <= hysquery.ShardFailed; s++ {
+		if s.String() == r.Ended {
+			reply.Status = s
+		}
+	}
+	if r.Status != 0 {
+		reply.Message = &hysmessage.Response{
+			Status: r.Status, Body: []byte(r.Body), Header: http.Header{"X-Sig": {"sig-" + string(service)}, "Connection": {"close"}},
+		}
+	}
+	return reply
+}
+
+// requestCase is one case of testdata/requests.json.
+type requestCase struct {
+	Name         string                            `json:"name"`
+	Path         string                            `json:"path"`
+	Replies      map[hysservice.Name]scriptedReply `json:"replies"`
+	Unconfigured bool                              `json:"unconfigured"`
+	Anonymous    bool                              `json:"anonymous"`
+	BodyBytes    int                               `json:"body-bytes"`
+	HeadBytes    int                               `json:"head-bytes"`
+	Chunked      bool                              `json:"chunked"`
+	Status       int                               `json:"status"`
+	Body         string                            `json:"body"`
+	Signature    string                            `json:"signature"`
+	Signatures   string                            `json:"signatures"`
+	Missing      string                            `json:"missing"`
+	RetryAfter   string                            `json:"retry-after"`
+	Outcome      string                            `json:"outcome"`
+}
+
+// fixture is an ingress with scripted services.
+type fixture struct {
+	ingress *hysingress.Ingress
+	server  *httptest.Server
+	records chan hysingress.Record
+	subs    chan hysdispatch.SubRequest
+}
+
+func newFixture(c requestCase) *fixture {
+	f := &fixture{records: make(chan hysingress.Record, 10), subs: make(chan hysdispatch.SubRequest, 10)}
+	f.ingress = &hysingress.Ingress{
+		Headers: headers, Closing: func() bool { return false },
+		Observe: func(r hysingress.Record) { f.records <- r },
+		State: func() *hysroute.Configuration {
+			if c.Unconfigured {
+				return nil
+			}
+			return configuration()
+		},
+		Submit: func(ctx context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
+			f.subs <- sub
+			reply := c.Replies[sub.Service]
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Duration(reply.AfterMS) * time.Millisecond):
+			}
+			return reply.reply(sub.Service)
+		},
+	}
+	f.server = httptest.NewServer(f.ingress)
+	return f
+}
+
+func (f *fixture) request(c requestCase) *http.Request {
+	var body io.Reader = http.NoBody
+	if c.BodyBytes > 0 {
+		body = bytes.NewReader(make([]byte, c.BodyBytes))
+	}
+	if c.Chunked {
+		body = io.MultiReader(body)
+	}
+	r, err := http.NewRequest(http.MethodPost, f.server.URL+c.Path, body)
+	Expect(err).NotTo(HaveOccurred())
+	if !c.Anonymous {
+		r.Header.Set("X-Id", "r-1")
+	}
+	if c.HeadBytes > 0 {
+		r.Header.Set("X-Long", strings.Repeat("a", c.HeadBytes))
+	}
+	return r
+}
+
+var _ = Describe("the ingress", func() {
+	var cases []requestCase
+	data, err := os.ReadFile("testdata/requests.json")
+	if err == nil {
+		err = json.Unmarshal(data, &cases)
+	}
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It(c.Name, func() {
+			f := newFixture(c)
+			defer f.server.Close()
+			started := time.Now()
+			response, err := http.DefaultClient.Do(f.request(c))
+			Expect(err).NotTo(HaveOccurred())
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(c.Status), string(body))
+			if c.Body != "" || response.StatusCode == http.StatusOK {
+				Expect(string(body)).To(Equal(c.Body))
+			}
+			Expect(response.Header.Get("X-Sig")).To(Equal(c.Signature))
+			Expect(response.Header.Get("X-Sigs")).To(Equal(c.Signatures))
+			Expect(response.Header.Get("X-Missing")).To(Equal(c.Missing))
+			Expect(response.Header.Get("Retry-After")).To(Equal(c.RetryAfter))
+			Expect((<-f.records).Outcome.String()).To(Equal(c.Outcome))
+			Expect(time.Since(started)).To(BeNumerically("<", 600*time.Millisecond))
+		})
+	}
+
+	It("gives what a searcher needs and keeps what is the system's", func() {
+		c := requestCase{Path: "/one/a%2Fb?q=1", Replies: map[hysservice.Name]scriptedReply{"roll": {Status: 200}}}
+		f := newFixture(c)
+		defer f.server.Close()
+		r := f.request(c)
+		r.Header.Set("X-Deadline", "700")
+		r.Header.Set("X-Searcher", "chosen-by-the-caller")
+		r.Header.Set("X-Kept", "yes")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "no")
+		_, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		sub := <-f.subs
+		Expect(sub.Message.Target).To(Equal("/one/a%2Fb?q=1"))
+		Expect(sub.Message.Header.Get("X-Kept")).To(Equal("yes"))
+		for _, name := range []string{"X-Hop", "X-Id", "X-Deadline", "X-Searcher", "Connection"} {
+			Expect(sub.Message.Header).NotTo(HaveKey(name))
+		}
+		Expect(sub.RequestID).To(BeEquivalentTo("r-1"))
+		Expect(sub.MaxRuns).To(Equal(2))
+		Expect(time.Until(sub.Deadline)).To(BeNumerically("~", 700*time.Millisecond, 150*time.Millisecond))
+	})
+
+	It("ends the sub-requests of a caller who has left", func() {
+		c := requestCase{Path: "/all/7", Replies: map[hysservice.Name]scriptedReply{"d1": {Status: 200, AfterMS: 1500}, "d2": {Status: 200, AfterMS: 1500}}}
+		f := newFixture(c)
+		defer f.server.Close()
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, leave)
+		_, err := http.DefaultClient.Do(f.request(c).WithContext(ctx))
+		Expect(err).To(HaveOccurred())
+		var record hysingress.Record
+		Eventually(f.records, "500ms").Should(Receive(&record))
+		Expect(record.Outcome).To(Equal(hysingress.OutcomeAbandoned))
+	})
+})
