--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -104,16 +104,16 @@
 
 // wait estimates how long an item would wait for a slot.
 func (s *shard) wait(i hysqueue.Item) time.Duration {
-	slots, active := 0, 0
+	slots, active := 0.0, 0
 	for _, r := range s.replicas {
 		if r.state() == stateServing {
-			slots += r.limit
+			slots += r.concurrency.limit
 			active += len(r.active)
 		}
 	}
 	ahead := s.queue.Ahead(i)
-	if ahead == 0 && active < slots {
+	if ahead == 0 && float64(active) < slots {
 		return 0
 	}
-	return s.mean * time.Duration(ahead+1) / time.Duration(max(slots, 1))
+	return time.Duration(float64(s.mean) * float64(ahead+1) / max(slots, minConcurrency))
 }
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -9,6 +9,7 @@
 	"github.com/qmuntal/stateless"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/core/hyssnapshot"
 )
@@ -40,6 +41,10 @@
 	maxShedPause = 500 * time.Millisecond
 )
 
+// urgentSpan is how long after an urgent answer bulk ones do not speak for the
+// replica.
+const urgentSpan = time.Second
+
 // latencyHalfLife is the time in which an idle replica's remembered latency
 // falls by half, so that one that was slow is tried again.
 const latencyHalfLife = 3 * time.Second
@@ -66,12 +71,11 @@
 	Replica
 	machine *stateless.StateMachine
 	slots   int
-	// limit is how many slots are used now. It starts at one for a cold
-	// replica, falls when it sheds load and grows with each answer.
-	limit  int
-	active []*waiter
-	shards []*shard
-	recent estimate
+	// concurrency starts at one send for a cold replica.
+	concurrency concurrency
+	active      []*waiter
+	shards      []*shard
+	recent      estimate
 	// reliability is kept apart from the backoff, which ends with one answer.
 	reliability reliability
 	latency     time.Duration
@@ -79,7 +83,11 @@
 	backoff     time.Duration
 	pause       time.Duration
 	retryAt     time.Time
-	jobs        chan job
+	// bulkAt is when bulk sub-requests may be sent again, urgentAt when an
+	// urgent one was last answered.
+	bulkAt   time.Time
+	urgentAt time.Time
+	jobs     chan job
 }
 
 func newReplica(r Replica, slots int) *replica {
@@ -99,7 +107,7 @@
 		Ignore(triggerAnswered).
 		Ignore(triggerDraining).
 		Permit(triggerRestarted, stateServing)
-	return &replica{Replica: r, machine: m, slots: slots, limit: 1, jobs: make(chan job, slots)}
+	return &replica{Replica: r, machine: m, slots: slots, concurrency: newConcurrency(slots), jobs: make(chan job, slots)}
 }
 
 func (r *replica) fire(trigger string) {
@@ -114,7 +122,8 @@
 // restart makes the replica cold.
 func (r *replica) restart() {
 	r.fire(triggerRestarted)
-	r.limit, r.latency, r.recent, r.reliability = 1, 0, estimate{}, reliability{}
+	r.concurrency = newConcurrency(r.slots)
+	r.latency, r.recent, r.reliability = 0, estimate{}, reliability{}
 	r.backoff, r.pause, r.retryAt = 0, 0, time.Time{}
 }
 
@@ -127,8 +136,28 @@
 		// One trial at a time until the replica answers.
 		return len(r.active) == 0 && !now.Before(r.retryAt)
 	default:
-		return len(r.active) < r.limit && !now.Before(r.retryAt)
+		return r.hasRoom() && !now.Before(r.retryAt)
+	}
+}
+
+// hasRoom reports whether one more send may be in flight. At a congested
+// replica an urgent one need not wait for a bulk one to end.
+func (r *replica) hasRoom() bool {
+	if len(r.active) < r.concurrency.sends() {
+		return true
+	}
+	urgent := slices.ContainsFunc(r.active, func(w *waiter) bool { return w.sub.Class == hysquery.ClassUrgent })
+	return r.concurrency.scarce() && !urgent && len(r.active) < r.slots
+}
+
+// takes reports whether a replica that is free may get a sub-request of a
+// class. Bulk ones wait for the rest after any send, urgent ones only for the
+// rest after urgent ones.
+func (r *replica) takes(class hysquery.Class, now time.Time) bool {
+	if class == hysquery.ClassUrgent {
+		return true
 	}
+	return len(r.active) < r.concurrency.sends() && !now.Before(r.bulkAt)
 }
 
 // expected returns how long a sub-request is likely to take: the average, less
@@ -158,10 +187,22 @@
 		r.active = slices.Delete(r.active, i, i+1)
 	}
 	r.used = now
-	r.observe(now, result, now.Sub(w.started))
+	latency := now.Sub(w.started)
+	r.observe(now, result, latency, w.sub)
+	r.rest(now.Add(r.concurrency.rest(latency)), w.sub.Class)
 }
 
-func (r *replica) observe(now time.Time, result Result, latency time.Duration) {
+// rest delays the next sends until a time.
+func (r *replica) rest(until time.Time, class hysquery.Class) {
+	if until.After(r.bulkAt) {
+		r.bulkAt = until
+	}
+	if class == hysquery.ClassUrgent && until.After(r.retryAt) {
+		r.retryAt = until
+	}
+}
+
+func (r *replica) observe(now time.Time, result Result, latency time.Duration, sub SubRequest) {
 	if result.Draining {
 		r.fire(triggerDraining)
 	}
@@ -172,15 +213,14 @@
 	case FaultNone, FaultVersionGone, FaultEpochGone, FaultRejected, FaultFailed:
 		r.fire(triggerAnswered)
 		r.backoff, r.pause = 0, 0
-		r.limit = min(r.limit+1, r.slots)
+		r.answered(now, latency, sub)
 		r.recordLatency(latency)
 	case FaultRefused, FaultLost, FaultMisdirected, FaultStalled:
 		r.fire(triggerFailed)
 		r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
 		r.retryAt = now.Add(max(r.backoff, min(result.RetryAfter, maxBackoff)))
 	case FaultShed:
-		// Another dispatcher may hold the slots: use fewer, and pause.
-		r.limit = max(min(r.limit, len(r.active)), 1)
+		r.shed(sub.Goal)
 		r.pause = min(max(r.pause*2, minShedPause), maxShedPause)
 		r.retryAt = now.Add(max(r.pause, min(result.RetryAfter, maxShedPause)))
 	case FaultDraining:
@@ -190,11 +230,35 @@
 		if latency > r.latency {
 			r.recordLatency(latency)
 		}
+		if r.concurrency.congested(latency, sub.Goal) {
+			r.concurrency.cut()
+		}
 	case FaultSilent:
 		// The connection failed, not the searcher.
 	}
 }
 
+// answered adjusts the concurrency. A bulk request in time tells nothing of
+// whether the urgent ones beside it are.
+func (r *replica) answered(now time.Time, latency time.Duration, sub SubRequest) {
+	if sub.Class == hysquery.ClassUrgent {
+		r.urgentAt = now
+	}
+	bulkOnly := now.Sub(r.urgentAt) > urgentSpan
+	if sub.Goal == 0 || sub.Class == hysquery.ClassUrgent || bulkOnly || r.concurrency.congested(latency, sub.Goal) {
+		r.concurrency.answered(latency, sub.Goal)
+	}
+}
+
+// shed notes a refusal: another dispatcher may hold the slots.
+func (r *replica) shed(goal time.Duration) {
+	if goal > 0 {
+		r.concurrency.cut()
+		return
+	}
+	r.concurrency.limit = max(min(r.concurrency.limit, float64(len(r.active))), 1)
+}
+
 func (r *replica) recordLatency(latency time.Duration) {
 	r.recent.add(latency)
 	r.latency = r.recent.value()
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -31,17 +31,20 @@
 
 // SubRequest is the part of a query that one shard runs.
 type SubRequest struct {
-	RequestID   hysquery.RequestID
-	Group       hysgroup.Name
-	Weight      uint32
-	Service     hysservice.Name
-	Class       hysquery.Class
-	Idempotent  bool
-	Version     hyssnapshot.Version
-	Epoch       hyssnapshot.Epoch
-	Shard       hysservice.ShardID
-	Body        []byte
-	Deadline    time.Time
+	RequestID  hysquery.RequestID
+	Group      hysgroup.Name
+	Weight     uint32
+	Service    hysservice.Name
+	Class      hysquery.Class
+	Idempotent bool
+	Version    hyssnapshot.Version
+	Epoch      hyssnapshot.Epoch
+	Shard      hysservice.ShardID
+	Body       []byte
+	Deadline   time.Time
+	// Goal is the time within which the reply is worth most; 0 if it is not
+	// known.
+	Goal        time.Duration
 	Fingerprint hysquery.Fingerprint
 	// Proven is true once the request has succeeded on a searcher.
 	Proven bool
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -187,7 +187,7 @@
 			return false
 		}
 		item, ok := s.queue.Pop(func(i hysqueue.Item) bool {
-			return !slices.Contains(i.Work.(*waiter).excluded, r)
+			return r.takes(i.Class, now) && !slices.Contains(i.Work.(*waiter).excluded, r)
 		})
 		if ok {
 			t.start(r, item)
@@ -223,13 +223,13 @@
 		}
 	}
 	limit := slowFactor * max(fastest, s.mean, time.Millisecond)
-	slots := 0
+	slots := 0.0
 	for _, r := range s.replicas {
 		if r.state() == stateServing && r.expected(now) <= limit {
-			slots += r.limit
+			slots += r.concurrency.limit
 		}
 	}
-	return limit + s.mean*time.Duration(s.queue.Len())/time.Duration(max(slots, 1))
+	return limit + time.Duration(float64(s.mean)*float64(s.queue.Len())/max(slots, minConcurrency))
 }
 
 func (t *table) start(r *replica, item hysqueue.Item) {
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -45,12 +45,25 @@
 // Entries is a list of entries.
 type Entries []Entry
 
+//go:generate go tool stringer -type=ChangeKind -linecomment -output=enum_string.go
+
+// ChangeKind tells what has become of a searcher.
+type ChangeKind uint8
+
+// The kinds of changes.
+const (
+	ChangeNone      ChangeKind = iota // unchanged
+	ChangeJoined                      // joined
+	ChangeRestarted                   // restarted
+	ChangeDraining                    // draining
+	ChangeGone                        // gone
+)
+
 // Change tells how an entry differs from what was known.
 type Change struct {
-	ID      SearcherID
-	Service hysservice.Name
-	// What is one of "joined", "restarted", "draining" and "gone".
-	What     string
+	ID       SearcherID
+	Service  hysservice.Name
+	Kind     ChangeKind
 	Revision Revision
 }
 
@@ -110,13 +123,13 @@
 	change := Change{ID: id, Service: e.Searcher.Service, Revision: e.Revision}
 	switch {
 	case !ok:
-		change.What = "joined"
+		change.Kind = ChangeJoined
 	case e.Born != known.Born:
-		change.What = "restarted"
+		change.Kind = ChangeRestarted
 	case e.Searcher.Leaving && !known.Searcher.Leaving:
-		change.What = "draining"
+		change.Kind = ChangeDraining
 	}
-	return change, change.What != ""
+	return change, change.Kind != ChangeNone
 }
 
 // Remove notes that an entry was removed. It is gone at once, unless the store
@@ -146,7 +159,7 @@
 	}
 	delete(d.entries, id)
 	delete(d.missing, id)
-	return Change{ID: id, Service: known.Searcher.Service, What: "gone", Revision: d.removed[id]}, true
+	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id]}, true
 }
 
 // Replace takes a whole listing over, which began at a revision: what it lacks
--- a/core/hysroute/configuration.go
+++ b/core/hysroute/configuration.go
@@ -79,20 +79,25 @@
 	return c, skipped
 }
 
-// classify makes the routes of the best priority of each service urgent.
+// classify makes a route urgent if, among the priorities of the routes that
+// share a service with it, its own is not below the middle one.
 func (c *Configuration) classify() {
-	best := make(map[hysservice.Name]Priority)
+	priorities := make(map[hysservice.Name][]Priority)
 	for _, r := range c.Routes {
 		for _, s := range r.Services() {
-			if known, ok := best[s]; !ok || r.Priority < known {
-				best[s] = r.Priority
-			}
+			priorities[s] = append(priorities[s], r.Priority)
 		}
 	}
+	middle := make(map[hysservice.Name]Priority, len(priorities))
+	for s, all := range priorities {
+		slices.Sort(all)
+		all = slices.Compact(all)
+		middle[s] = all[(len(all)-1)/2]
+	}
 	for _, r := range c.Routes {
 		r.Class = hysquery.ClassUrgent
 		for _, s := range r.Services() {
-			if best[s] < r.Priority {
+			if r.Priority > middle[s] {
 				r.Class = hysquery.ClassBulk
 			}
 		}
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -61,8 +61,7 @@
 
 // replica is a searcher as the dispatcher uses it.
 func (f *Front) replica(e hysmember.Entry) hysdispatch.Replica {
-	s := e.Searcher
-	s.Region = f.settings.Regions[s.Zone]
+	s := f.located(e.Searcher)
 	return hysdispatch.Replica{
 		Searcher: s, Incarnation: uint64(max(e.Born, 0)), Distance: f.distance(s),
 		Slots:    min(e.Slots, f.connectionCap(s)),
@@ -70,6 +69,12 @@
 	}
 }
 
+// located adds the region of a searcher's availability zone.
+func (f *Front) located(s hysmember.Searcher) hysmember.Searcher {
+	s.Region = f.settings.Regions[s.Zone]
+	return s
+}
+
 func (f *Front) distance(s hysmember.Searcher) time.Duration {
 	switch {
 	case s.Zone == f.settings.Zone:
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -44,6 +44,12 @@
 	return true
 }
 
+func (d *dependency) isLost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lost
+}
+
 // regain reports whether it was lost until now, and for how long.
 func (d *dependency) regain() (time.Duration, bool) {
 	d.mu.Lock()
@@ -142,6 +148,9 @@
 	f.state.Store(next)
 	f.log.Info("configuration in force", "version", next.Version, "revision", c.Revision, "routes", len(next.Routes))
 	f.assign()
+	if known == nil {
+		close(f.configured)
+	}
 	return true
 }
 
@@ -186,7 +195,7 @@
 		return
 	}
 	for _, c := range changes {
-		f.log.Info("searcher "+c.What, "searcher", c.ID, "service", c.Service, "revision", c.Revision)
+		f.log.Info("searcher "+c.Kind.String(), "searcher", c.ID, "service", c.Service, "revision", c.Revision)
 	}
 	f.assign()
 }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -57,6 +57,8 @@
 	dispatcher *hysdispatch.Dispatcher
 	ingress    *hysingress.Ingress
 	state      atomic.Pointer[hysroute.Configuration]
+	// configured is closed once there is a configuration.
+	configured chan struct{}
 	// listed is set once the list of searchers has been read.
 	listed  atomic.Bool
 	leaving atomic.Bool
@@ -76,20 +78,20 @@
 func New(s Settings, source Source, headers hysingress.Headers, log *slog.Logger) *Front {
 	f := &Front{
 		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
-		directory: hysmember.NewDirectory(),
-		budgets:   make(map[hysservice.Name]*hysbudget.Budget),
-		assigned:  make(map[hysservice.Name]bool),
+		directory: hysmember.NewDirectory(), configured: make(chan struct{}),
+		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
+		assigned: make(map[hysservice.Name]bool),
 	}
 	f.instances.Store(unknownInstances)
 	f.forward = hysforward.New(hysforward.Headers{
 		RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
 		Searcher: headers.Searcher, NotRun: headers.NotRun,
 	}, hysforward.WithConnectionCap(f.connectionCap))
-	f.dispatcher = hysdispatch.New(f.forward.Send,
+	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: hedgePercent, Unknown: unknownDelay, Reserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime))
 	f.ingress = &hysingress.Ingress{
-		Headers: headers, State: f.state.Load, Submit: f.dispatcher.Submit,
+		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit,
 		Observe: f.observe, Closing: f.leaving.Load,
 	}
 	return f
@@ -149,6 +151,26 @@
 	return &wait
 }
 
+// firstWait is how long a request waits for the first configuration, which
+// follows the start of the process within a few calls of the store.
+const firstWait = 300 * time.Millisecond
+
+// awaitConfiguration returns the configuration in force. A daemon that has just
+// started waits for it, unless the store does not answer.
+func (f *Front) awaitConfiguration(ctx context.Context) *hysroute.Configuration {
+	if state := f.state.Load(); state != nil || f.store.isLost() {
+		return state
+	}
+	timer := time.NewTimer(firstWait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.configured:
+	}
+	return f.state.Load()
+}
+
 // ready reports whether new callers should come to this daemon.
 func (f *Front) ready() bool {
 	return f.state.Load() != nil && f.listed.Load() && !f.leaving.Load()
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
 	"hyssopshore/io/hysingress"
 )
 
@@ -20,3 +23,16 @@
 		"shards", r.Shards, "answered", r.Answered, "missing", r.Missing, "sends", r.Sends, "searcher", r.Searcher,
 		"retry-after-ms", r.RetryAfter.Milliseconds())
 }
+
+// send sends a sub-request, and counts and logs what a searcher has not
+// answered.
+func (f *Front) send(ctx context.Context, s hysmember.Searcher, sub hysdispatch.SubRequest) hysdispatch.Result {
+	started := time.Now()
+	result := f.forward.Send(ctx, s, sub)
+	f.metrics.ObserveSend(string(sub.Service), result.Fault.String(), time.Since(started))
+	if result.Fault != hysdispatch.FaultNone {
+		f.log.Info("send "+result.Fault.String(), "id", sub.RequestID, "service", sub.Service, "searcher", s.ID,
+			"address", s.Address, "not-run", result.NotSent, "reason", result.Reason, "ms", time.Since(started).Milliseconds())
+	}
+	return result
+}
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -96,8 +96,9 @@
 
 // Seams of an Ingress.
 type (
-	// StateFunc returns the configuration in force, nil while there is none.
-	StateFunc func() *hysroute.Configuration
+	// StateFunc returns the configuration in force. While there is none it waits
+	// for the first one, and returns nil if that does not come soon.
+	StateFunc func(context.Context) *hysroute.Configuration
 	// ObserveFunc is told of each request that has ended.
 	ObserveFunc func(Record)
 )
@@ -141,7 +142,7 @@
 
 // prepare matches the request. It answers it and returns false if it can't run.
 func (e *exchange) prepare() bool {
-	r, state := e.request, e.ingress.State()
+	r, state := e.request, e.ingress.State(e.request.Context())
 	if state == nil {
 		e.refuse("no configuration is known yet", unconfiguredRetry)
 		return false
@@ -236,7 +237,7 @@
 	return hysdispatch.SubRequest{
 		RequestID: e.record.ID, Group: hysgroup.Name(e.route.Host), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
-		Deadline: e.deadline, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
+		Deadline: e.deadline, Goal: e.route.Goal, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
 	}
 }
 
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -145,6 +145,13 @@
 	scope.Histogram("route_request_seconds", m.buckets).RecordDuration(latency)
 }
 
+// ObserveSend counts a send to a searcher by how it ended.
+func (m *Metrics) ObserveSend(service, result string, latency time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"service": m.label(m.services, maxServices, service)})
+	scope.Tagged(map[string]string{"result": result}).Counter("sends_total").Inc(1)
+	scope.Histogram("send_seconds", m.buckets).RecordDuration(latency)
+}
+
 func (m *Metrics) observeCoverage(service string, coverage hysquery.Coverage) {
 	counts := make(map[hysquery.ShardStatus]int64)
 	for _, c := range coverage {
