--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -213,6 +213,18 @@
 	return best
 }
 
+// unknownTime stands for the slot time of a sub-request until one has ended, so
+// that the first ones do not all wait for the nearest replica.
+const unknownTime = 10 * time.Millisecond
+
+// usualTime is the average slot time of a sub-request.
+func (s *shard) usualTime() time.Duration {
+	if s.mean == 0 {
+		return unknownTime
+	}
+	return max(s.mean, time.Millisecond)
+}
+
 // patience is how long a sub-request would take at the better replicas, the
 // wait for them included.
 func (s *shard) patience(now time.Time) time.Duration {
@@ -222,14 +234,14 @@
 			fastest = e
 		}
 	}
-	limit := slowFactor * max(fastest, s.mean, time.Millisecond)
+	limit := slowFactor * max(fastest, s.usualTime())
 	slots := 0.0
 	for _, r := range s.replicas {
 		if r.state() == stateServing && r.expected(now) <= limit {
 			slots += r.concurrency.limit
 		}
 	}
-	return limit + time.Duration(float64(s.mean)*float64(s.queue.Len())/max(slots, minConcurrency))
+	return limit + time.Duration(float64(s.usualTime())*float64(s.queue.Len())/max(slots, minConcurrency))
 }
 
 func (t *table) start(r *replica, item hysqueue.Item) {
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -157,9 +157,14 @@
 		}
 		return Change{}, false
 	}
+	return d.drop(known), true
+}
+
+func (d *Directory) drop(known Entry) Change {
+	id := known.Searcher.ID
 	delete(d.entries, id)
 	delete(d.missing, id)
-	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id]}, true
+	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id]}
 }
 
 // Replace takes a whole listing over, which began at a revision: what it lacks
@@ -167,14 +172,7 @@
 func (d *Directory) Replace(listed Entries, began Revision, now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var changes []Change
-	present := make(map[SearcherID]bool, len(listed))
-	for _, e := range listed {
-		present[e.Searcher.ID] = true
-		if c, ok := d.put(e); ok {
-			changes = append(changes, c)
-		}
-	}
+	changes, present := d.putAll(listed)
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
 		if known := d.entries[id]; !present[id] && known.Revision <= began {
 			if c, ok := d.miss(known, now); ok {
@@ -185,6 +183,33 @@
 	return changes
 }
 
+// Adopt takes the whole listing of another instance over, which the store
+// serves and which has waited for what might come back.
+func (d *Directory) Adopt(listed Entries, revision Revision) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes, present := d.putAll(listed)
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if known := d.entries[id]; !present[id] && known.Revision <= revision {
+			changes = append(changes, d.drop(known))
+		}
+	}
+	return changes
+}
+
+// putAll takes entries over and returns their ids too.
+func (d *Directory) putAll(listed Entries) ([]Change, map[SearcherID]bool) {
+	var changes []Change
+	present := make(map[SearcherID]bool, len(listed))
+	for _, e := range listed {
+		present[e.Searcher.ID] = true
+		if c, ok := d.put(e); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes, present
+}
+
 // Settle drops the entries that have not come back since the store returned.
 func (d *Directory) Settle(now time.Time) []Change {
 	d.mu.Lock()
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -126,16 +126,25 @@
 	lease := LeaseID(0)
 	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
 		lease = f.keepAnnounced(ctx, lease)
-		count, err := f.source.Instances(ctx)
-		if err != nil || count == 0 {
+		addresses, err := f.source.Instances(ctx)
+		if err != nil || len(addresses) == 0 {
 			// The last count holds; the store's state is logged by the readers.
 			continue
 		}
-		if before := f.instances.Swap(int64(count)); before != int64(count) {
-			f.log.Info("instances counted", "count", count, "before", before)
-			f.shareBudgets()
-			f.assign()
-		}
+		f.noteInstances(addresses)
+	}
+}
+
+// noteInstances adjusts this daemon's share to the number of daemons.
+func (f *Front) noteInstances(addresses []hysmember.Address) {
+	f.mu.Lock()
+	f.announced = addresses
+	f.mu.Unlock()
+	count := int64(len(addresses))
+	if before := f.instances.Swap(count); before != count {
+		f.log.Info("instances counted", "count", count, "before", before)
+		f.shareBudgets()
+		f.assign()
 	}
 }
 
@@ -144,7 +153,7 @@
 	if lease != 0 && f.source.Renew(ctx, lease) == nil {
 		return lease
 	}
-	lease, err := f.source.Announce(ctx, f.settings.Instance, max(announceLease, f.settings.MinLease))
+	lease, err := f.source.Announce(ctx, f.settings.Instance, f.settings.PeerAddress, max(announceLease, f.settings.MinLease))
 	if err != nil {
 		f.log.Warn("not announced", "error", err)
 		return 0
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -31,6 +31,15 @@
 	mu   sync.Mutex
 	lost bool
 	at   time.Time
+	// served is when it was last there.
+	served time.Time
+}
+
+// age is how long ago it was last there.
+func (d *dependency) age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.served)
 }
 
 // lose reports whether it was there until now.
@@ -54,6 +63,7 @@
 func (d *dependency) regain() (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.served = time.Now()
 	if !d.lost {
 		return 0, false
 	}
@@ -93,6 +103,7 @@
 		switch {
 		case err == nil:
 			after, failures = next, 0
+			f.revision.Store(max(f.revision.Load(), int64(next)))
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info("history gone, reading everything again", "after", after)
 			after = 0
@@ -146,6 +157,7 @@
 		return false
 	}
 	f.state.Store(next)
+	f.newest.Store(&c)
 	f.log.Info("configuration in force", "version", next.Version, "revision", c.Revision, "routes", len(next.Routes))
 	f.assign()
 	if known == nil {
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -29,6 +29,7 @@
 	"hyssopshore/io/hysforward"
 	"hyssopshore/io/hysingress"
 	"hyssopshore/io/hysmetrics"
+	"hyssopshore/io/hysrelay"
 )
 
 // The hedging of requests.
@@ -65,13 +66,23 @@
 	// instances is how many daemons share the budgets and the connections.
 	instances atomic.Int64
 	store     dependency
+	// others are the daemons that are asked while the store does not serve
+	// this one.
+	others  dependency
+	relayed *hysrelay.Client
+	// newest is the configuration in force, revision that of the store up to
+	// which this daemon knows everything.
+	newest   atomic.Pointer[Configured]
+	revision atomic.Int64
 
 	// Lock order: mu, then the dispatcher's locks, then budgetMu.
 	mu sync.Mutex
 	// assigned are the services that the dispatcher has searchers of.
 	assigned map[hysservice.Name]bool
-	budgetMu sync.Mutex
-	budgets  map[hysservice.Name]*hysbudget.Budget
+	// announced are the addresses of all daemons, as last read.
+	announced []hysmember.Address
+	budgetMu  sync.Mutex
+	budgets   map[hysservice.Name]*hysbudget.Budget
 }
 
 // New returns a daemon that is not yet started.
@@ -79,6 +90,7 @@
 	f := &Front{
 		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
 		directory: hysmember.NewDirectory(), configured: make(chan struct{}),
+		relayed:  hysrelay.NewClient(),
 		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
 		assigned: make(map[hysservice.Name]bool),
 	}
@@ -117,6 +129,7 @@
 	stop()
 	wait.Wait()
 	f.forward.Close()
+	f.relayed.Close()
 	f.metrics.Close()
 	f.log.Info("stopped")
 	return nil
@@ -147,6 +160,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { f.follow(ctx) })
 	wait.Go(func() { f.announce(ctx) })
+	wait.Go(func() { f.relay(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
 	return &wait
 }
@@ -156,9 +170,9 @@
 const firstWait = 300 * time.Millisecond
 
 // awaitConfiguration returns the configuration in force. A daemon that has just
-// started waits for it, unless the store does not answer.
+// started waits for it, unless neither the store nor another daemon answers.
 func (f *Front) awaitConfiguration(ctx context.Context) *hysroute.Configuration {
-	if state := f.state.Load(); state != nil || f.store.isLost() {
+	if state := f.state.Load(); state != nil || f.store.isLost() && f.others.isLost() {
 		return state
 	}
 	timer := time.NewTimer(firstWait)
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysrelay"
 )
 
 // MetricsPort and MetricsPath are where the metrics are served.
@@ -41,6 +42,7 @@
 	callers   *http.Server
 	readiness *http.Server
 	metrics   *http.Server
+	peers     *http.Server
 }
 
 // listen opens the daemon's ports and serves them.
@@ -53,6 +55,7 @@
 		},
 		readiness: &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ErrorLog: quiet, ReadHeaderTimeout: headTimeout},
 		metrics:   &http.Server{Handler: f.metrics.Handler(), ErrorLog: quiet, ReadTimeout: metricsTimeout},
+		peers:     &http.Server{Handler: hysrelay.NewHandler(f.view), ErrorLog: quiet, ReadTimeout: metricsTimeout},
 	}
 	metrics := hysmember.Address(net.JoinHostPort(f.settings.Address, strconv.Itoa(MetricsPort)))
 	ports := []struct {
@@ -63,8 +66,12 @@
 		{"callers", s.callers, f.settings.CallerAddress},
 		{"readiness", s.readiness, f.settings.ReadinessAddress},
 		{"metrics", s.metrics, metrics},
+		{"peers", s.peers, f.settings.PeerAddress},
 	}
 	for _, p := range ports {
+		if p.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", string(p.address))
 		if err != nil {
 			s.close()
@@ -80,7 +87,7 @@
 }
 
 func (s *servers) close() {
-	for _, h := range []*http.Server{s.callers, s.readiness, s.metrics} {
+	for _, h := range []*http.Server{s.callers, s.readiness, s.metrics, s.peers} {
 		// Nothing is served on it any more.
 		_ = h.Close()
 	}
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -24,6 +24,8 @@
 	Configuration *hysroute.Configuration
 	Skipped       []hysroute.Skipped
 	Revision      hysmember.Revision
+	// Raw is the configuration as it lies in the store.
+	Raw []byte
 }
 
 // Snapshot is the configuration and the whole list of the searchers.
@@ -73,10 +75,13 @@
 	Read func(context.Context) (Snapshot, error)
 	// Watch waits until any key has changed since a revision.
 	Watch func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Changes, error)
-	// Announce lists an instance for as long as its lease holds.
-	Announce func(context.Context, hysmember.InstanceID, time.Duration) (LeaseID, error)
+	// Decode decodes a configuration as it lies in the store.
+	Decode func([]byte) (Configured, error)
+	// Announce lists an instance and its address for other daemons for as long
+	// as its lease holds.
+	Announce func(context.Context, hysmember.InstanceID, hysmember.Address, time.Duration) (LeaseID, error)
 	// Renew keeps the lease of an announced instance.
 	Renew func(context.Context, LeaseID) error
-	// Instances counts the announced instances.
-	Instances func(context.Context) (int, error)
+	// Instances returns the addresses of the announced instances.
+	Instances func(context.Context) ([]hysmember.Address, error)
 }
