--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -85,14 +85,11 @@
 	return last
 }
 
-// peers are the other daemons that the settings or the store have named.
+// peers are the other daemons that the store has named.
 func (f *Front) peers() []hysmember.Address {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := slices.Concat(f.settings.Seeds, f.announced)
-	slices.Sort(all)
-	all = slices.Compact(all)
-	return slices.DeleteFunc(all, func(a hysmember.Address) bool { return a == f.settings.PeerAddress })
+	return slices.DeleteFunc(slices.Clone(f.announced), func(a hysmember.Address) bool { return a == f.settings.PeerAddress })
 }
 
 // adopt takes the view of another daemon over.
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -36,8 +36,6 @@
 	StoreAddress     hysmember.Address
 	// PeerAddress is where other daemons call this one; empty if they don't.
 	PeerAddress hysmember.Address
-	// Seeds are the addresses of some other daemons; they may be stale.
-	Seeds []hysmember.Address
 	// MemoryBytes is what the process may use; 0 stands for no limit.
 	MemoryBytes int64
 	// StopGrace is how long after SIGTERM the process may still run.
