--- /dev/null
+++ b/io/hysfront/front_test.go
@@ -0,0 +1,283 @@
+package hysfront_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysroute"
+	"hyssopshore/internal/hyssuite"
+	"hyssopshore/io/hysfront"
+	"hyssopshore/io/hysingress"
+)
+
+func TestFront(t *testing.T) {
+	hyssuite.Run(t, "Front")
+}
+
+var headers = hysingress.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Sig", Searcher: "X-Searcher",
+	NotRun: "X-Not-Run", Signatures: "X-Sigs", Missing: "X-Missing",
+}
+
+var errAway = fmt.Errorf("the store is away")
+
+// store is a scripted store.
+type store struct {
+	mu       sync.Mutex
+	away     bool
+	reads    int
+	version  hysroute.Version
+	revision hysmember.Revision
+	entries  hysmember.Entries
+	changes  []hysfront.Changes
+	peers    []hysmember.Address
+}
+
+func (s *store) set(work func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	work()
+}
+
+func (s *store) configuration() hysfront.Configured {
+	c, _ := hysroute.NewConfiguration(s.version, hysroute.Routes{{
+		Name: hysroute.Name(fmt.Sprint("v", s.version)), Host: "rota.example", Prefix: "/", Idempotent: true,
+		Timeout: 2 * time.Second, Branches: hysroute.Branches{{Service: "roll", Weight: 1}},
+	}}, nil, hysroute.Limits{})
+	return hysfront.Configured{Configuration: c, Revision: s.revision, Raw: fmt.Append(nil, s.version)}
+}
+
+func (s *store) source() hysfront.Source {
+	return hysfront.Source{
+		Read: func(context.Context) (hysfront.Snapshot, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.away {
+				return hysfront.Snapshot{}, errAway
+			}
+			s.reads++
+			return hysfront.Snapshot{Configured: s.configuration(), Entries: s.entries, Began: s.revision}, nil
+		},
+		Watch: func(ctx context.Context, after hysmember.Revision, _ time.Duration) (hysfront.Changes, error) {
+			time.Sleep(10 * time.Millisecond)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.away {
+				return hysfront.Changes{}, errAway
+			}
+			if len(s.changes) == 0 {
+				return hysfront.Changes{Revision: after}, nil
+			}
+			next := s.changes[0]
+			s.changes = s.changes[1:]
+			return next, nil
+		},
+		Decode: func(raw []byte) (hysfront.Configured, error) {
+			var version hysroute.Version
+			_, err := fmt.Sscan(string(raw), &version)
+			scripted := &store{version: version}
+			c := scripted.configuration()
+			c.Raw = raw
+			return c, err
+		},
+		Announce: func(context.Context, hysmember.InstanceID, hysmember.Address, time.Duration) (hysfront.LeaseID, error) {
+			return 1, nil
+		},
+		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
+		Instances: func(context.Context) ([]hysmember.Address, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.peers, nil
+		},
+	}
+}
+
+// daemon is a frontend daemon with the lines that it has logged.
+type daemon struct {
+	settings hysfront.Settings
+	stop     context.CancelFunc
+	stopped  chan error
+	log      *lines
+}
+
+// lines is a log in memory.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write adds a line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func freeAddress(ip string) hysmember.Address {
+	listener, err := net.Listen("tcp", ip+":0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return hysmember.Address(listener.Addr().String())
+}
+
+// start starts a daemon; each has an IP number of its own.
+func start(s *store, ip string) *daemon {
+	d := &daemon{stopped: make(chan error, 1), log: &lines{}, settings: hysfront.Settings{
+		Instance: hysmember.InstanceID("entry-" + ip), Zone: "z", Region: "r", Address: ip,
+		CallerAddress: freeAddress(ip), ReadinessAddress: freeAddress(ip), PeerAddress: freeAddress(ip),
+		StoreAddress: "127.0.0.1:1", StopGrace: 3 * time.Second,
+	}}
+	d.settings.Defaults()
+	Expect(d.settings.Validate()).To(Succeed())
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	front := hysfront.New(d.settings, s.source(), headers, slog.New(slog.NewJSONHandler(d.log, nil)))
+	go func() { d.stopped <- front.Run(ctx, nil) }()
+	DeferCleanup(func() {
+		stop()
+		Eventually(d.stopped, "10s").Should(Receive())
+	})
+	return d
+}
+
+func (d *daemon) ready() int {
+	response, err := http.Get("http://" + string(d.settings.ReadinessAddress) + "/readyz")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func (d *daemon) ask() (int, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+string(d.settings.CallerAddress)+"/7", nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "rota.example"
+	r.Header.Set("X-Id", "r-1")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode, string(body)
+}
+
+// searcher starts a searcher and returns its entry.
+func searcher(id hysmember.SearcherID, work time.Duration) hysmember.Entry {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(work)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Sig", "s")
+		_, _ = io.WriteString(w, string(id))
+	}))
+	DeferCleanup(server.Close)
+	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
+	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id, Service: "roll", Address: address, Zone: "z"}, Slots: 2, Revision: 1}
+}
+
+var _ = Describe("a frontend daemon", func() {
+	var s *store
+
+	BeforeEach(func() {
+		s = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}}
+	})
+
+	It("is ready once it has the configuration and the list, and serves", func() {
+		s.away = true
+		d := start(s, "127.0.0.2")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusServiceUnavailable))
+		status, _ := d.ask()
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		s.set(func() { s.away = false })
+		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		status, body := d.ask()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("s-1"))
+	})
+
+	It("takes a newer configuration over and never goes back", func() {
+		d := start(s, "127.0.0.3")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		newer, older := &store{version: 4, revision: 8}, &store{version: 2, revision: 9}
+		s.set(func() {
+			s.changes = []hysfront.Changes{
+				{Configured: newer.configuration(), Revision: 8, Events: 1},
+				{Configured: older.configuration(), Revision: 9, Events: 1},
+			}
+		})
+		Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.changes) }, "3s").Should(BeZero())
+		d.ask()
+		Eventually(d.log.String, "2s").Should(ContainSubstring(`"configuration":4`))
+		Expect(d.log.String()).NotTo(ContainSubstring(`"msg":"configuration in force","instance":"entry-127.0.0.3","version":2`))
+	})
+
+	It("reads everything again when a watch has heard nothing of a change", func() {
+		d := start(s, "127.0.0.4")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		s.set(func() {
+			s.version, s.revision = 6, 20
+			s.changes = []hysfront.Changes{{Revision: 20}}
+		})
+		Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads }, "2s").Should(Equal(2))
+		Eventually(d.log.String, "2s").Should(ContainSubstring(`"version":6`))
+	})
+
+	It("takes the view of another daemon while the store turns it away", func() {
+		served := start(s, "127.0.0.5")
+		Eventually(served.ready, "2s").Should(Equal(http.StatusOK))
+		turnedAway := &store{away: true, peers: []hysmember.Address{served.settings.PeerAddress}}
+		d := start(turnedAway, "127.0.0.6")
+		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		status, body := d.ask()
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("s-1"))
+		draining := s.entries[0]
+		draining.Searcher.Leaving, draining.Sequence, draining.Revision = true, 9, 30
+		fresh := searcher("s-2", 0)
+		fresh.Revision = 31
+		s.set(func() {
+			s.changes = []hysfront.Changes{{Revision: 31, Events: 2, Updates: []hysfront.Update{
+				{ID: "s-1", Entry: draining, Revision: 30}, {ID: "s-2", Entry: fresh, Revision: 31},
+			}}}
+		})
+		Eventually(func() string { _, body := d.ask(); return body }, "3s").Should(Equal("s-2"))
+	})
+
+	It("finishes what runs when it is stopped, and is not ready at once", func() {
+		s.entries = hysmember.Entries{searcher("s-1", 800*time.Millisecond)}
+		d := start(s, "127.0.0.7")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		answers := make(chan int, 1)
+		go func() { status, _ := d.ask(); answers <- status }()
+		time.Sleep(100 * time.Millisecond)
+		d.stop()
+		Eventually(d.ready, "500ms").Should(Equal(http.StatusServiceUnavailable))
+		status, _ := d.ask()
+		Expect(status).To(Equal(http.StatusOK), "new callers still come for a while")
+		Expect(<-answers).To(Equal(http.StatusOK))
+		Eventually(d.stopped, "5s").Should(Receive(BeNil()))
+		d.stopped <- nil
+		Expect(d.log.String()).To(ContainSubstring(`"msg":"stopped"`))
+	})
+})
