--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -45,8 +45,8 @@
 // replica.
 const urgentSpan = time.Second
 
-// latencyHalfLife is the time in which an idle replica's remembered latency
-// falls by half, so that one that was slow is tried again.
+// latencyHalfLife is the time in which an idle replica's latency comes half way
+// back to the usual, so that one that was slow is tried again.
 const latencyHalfLife = 3 * time.Second
 
 // shardKey identifies a shard of a service in one epoch.
@@ -160,20 +160,25 @@
 	return len(r.active) < r.concurrency.sends() && !now.Before(r.bulkAt)
 }
 
-// expected returns how long a sub-request is likely to take: the average, less
-// the longer the replica has been idle, but no less than the age of the oldest
-// one that runs.
-func (r *replica) expected(now time.Time) time.Duration {
-	if len(r.active) == 0 {
-		idle := now.Sub(r.used).Seconds() / latencyHalfLife.Seconds()
-		return max(r.Distance, time.Duration(float64(r.latency)*math.Exp2(-idle)))
+// expected returns how long a sub-request is likely to take where one usually
+// takes a time: the median, nearer to the usual the longer the replica has been
+// idle, but no less than the age of the oldest one that runs.
+func (r *replica) expected(now time.Time, usual time.Duration) time.Duration {
+	if len(r.active) > 0 {
+		return max(r.Distance, r.latency, now.Sub(r.active[0].started))
 	}
-	return max(r.Distance, r.latency, now.Sub(r.active[0].started))
+	if r.recent.count == 0 {
+		// A replica that is not known is worth a try when the others are slow.
+		return r.Distance + min(usual, unknownTime)
+	}
+	usual += r.Distance
+	idle := now.Sub(r.used).Seconds() / latencyHalfLife.Seconds()
+	return max(r.Distance, usual+time.Duration(float64(r.latency-usual)*math.Exp2(-idle)))
 }
 
 // score orders free replicas; the lowest is the best.
-func (r *replica) score(now time.Time) float64 {
-	wait := float64(len(r.active)+1) * (r.expected(now) + time.Millisecond).Seconds()
+func (r *replica) score(now time.Time, usual time.Duration) float64 {
+	wait := float64(len(r.active)+1) * (r.expected(now, usual) + time.Millisecond).Seconds()
 	return wait + r.reliability.cost(now).Seconds()
 }
 
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -200,13 +200,13 @@
 // best returns the best replica that is free and not so slow that waiting for
 // another is better.
 func (s *shard) best(now time.Time, without []*replica) *replica {
-	patience := s.patience(now)
+	patience, usual := s.patience(now), s.usualTime()
 	var best *replica
 	for _, r := range s.replicas {
-		if !r.free(now) || slices.Contains(without, r) || r.expected(now) > patience {
+		if !r.free(now) || slices.Contains(without, r) || r.expected(now, usual) > patience {
 			continue
 		}
-		if best == nil || r.score(now) < best.score(now) {
+		if best == nil || r.score(now, usual) < best.score(now, usual) {
 			best = r
 		}
 	}
@@ -228,20 +228,20 @@
 // patience is how long a sub-request would take at the better replicas, the
 // wait for them included.
 func (s *shard) patience(now time.Time) time.Duration {
-	fastest := time.Duration(-1)
+	fastest, usual := time.Duration(-1), s.usualTime()
 	for _, r := range s.replicas {
-		if e := r.expected(now) + r.reliability.cost(now); r.state() == stateServing && (fastest < 0 || e < fastest) {
+		if e := r.expected(now, usual) + r.reliability.cost(now); r.state() == stateServing && (fastest < 0 || e < fastest) {
 			fastest = e
 		}
 	}
-	limit := slowFactor * max(fastest, s.usualTime())
+	limit := slowFactor * max(fastest, usual)
 	slots := 0.0
 	for _, r := range s.replicas {
-		if r.state() == stateServing && r.expected(now) <= limit {
+		if r.state() == stateServing && r.expected(now, usual) <= limit {
 			slots += r.concurrency.limit
 		}
 	}
-	return limit + time.Duration(float64(s.usualTime())*float64(s.queue.Len())/max(slots, minConcurrency))
+	return limit + time.Duration(float64(usual)*float64(s.queue.Len())/max(slots, minConcurrency))
 }
 
 func (t *table) start(r *replica, item hysqueue.Item) {
