--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -104,7 +104,7 @@
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime))
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit,
-		Observe: f.observe, Closing: f.leaving.Load,
+		Observe: f.observe, Closing: f.turnsAway,
 	}
 	return f
 }
@@ -190,6 +190,9 @@
 	return f.state.Load() != nil && f.listed.Load() && !f.leaving.Load()
 }
 
+// turnsAway reports whether callers should connect to another daemon.
+func (f *Front) turnsAway() bool { return f.leaving.Load() || f.state.Load() == nil }
+
 func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !f.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -13,8 +13,11 @@
 	"hyssopshore/io/hysrelay"
 )
 
-// errNoNewer means that no other daemon knows more.
-const errNoNewer = errors.ConstError("no other instance has a newer view")
+// Reasons why other daemons told nothing.
+const (
+	errNoNewer = errors.ConstError("no other instance has a newer view")
+	errNobody  = errors.ConstError("no other instance is known")
+)
 
 // Rhythm and bounds of asking other daemons.
 const (
@@ -70,7 +73,7 @@
 func (f *Front) askOthers(ctx context.Context) error {
 	peers := f.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	last := fmt.Errorf("askOthers: %w", errNoNewer)
+	last := fmt.Errorf("askOthers: %w", errNobody)
 	for _, address := range peers[:min(len(peers), askedInstances)] {
 		v, err := f.relayed.View(ctx, address, hysmember.Revision(f.revision.Load()))
 		if err != nil {
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -32,7 +32,8 @@
 
 // Times after which a refused request may be sent again.
 const (
-	unconfiguredRetry = 500 * time.Millisecond
+	// unconfiguredRetry is short: another daemon is likely to have one.
+	unconfiguredRetry = 100 * time.Millisecond
 	overloadedRetry   = 100 * time.Millisecond
 )
 
