--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -20,6 +20,17 @@
 	fullRefusal  = 1.5
 )
 
+// A refused caller is asked to return within returnPart of the time that it has;
+// returnSpread is the part of that over which the callers are spread.
+const (
+	returnPart   = 1.0 / 3
+	returnSpread = 0.5
+)
+
+// returningGoals is how many goals a caller who was refused before is allowed,
+// so that few are refused twice.
+const returningGoals = 2
+
 // pressureSpan is the time constant of the smoothed wait.
 const pressureSpan = 100 * time.Millisecond
 
@@ -78,13 +89,90 @@
 	if now.Add(wait + s.mean).After(c.sub.Deadline) {
 		return notSent(c.sub, hysquery.ShardOverloaded, "the queue is longer than the deadline", max(wait, minRetryAfter)), true
 	}
+	if c.sub.Admitted {
+		return SubReply{}, false
+	}
 	smoothed := s.pressure.smooth(pressureKey{group: c.sub.Group, class: c.sub.Class}, now, wait)
-	if c.sub.Idempotent && c.sub.drawn() > admitted(smoothed, c.sub.Deadline.Sub(now)) {
-		return notSent(c.sub, hysquery.ShardOverloaded, "the group's queue is too long", max(smoothed, minRetryAfter)), true
+	if part := admitted(smoothed, c.sub.allowance(now)); c.sub.refusable() && c.sub.drawn() > part {
+		return notSent(c.sub, hysquery.ShardOverloaded, "the group's queue is too long", c.sub.returnAfter(now, smoothed, part)), true
 	}
 	return SubReply{}, false
 }
 
+// Admit decides whether a query whose answer needs a minimum of its shards may
+// be run, before anything of it is sent. It answers the load of a burst: the
+// shards' queues grow, every query waits in all of them, and soon all are late.
+// A part of the queries is refused at once instead, all of a query's shards
+// together, by the wait of the shards that its answer needs. The reply to a
+// refused query says when to send it again.
+func (d *Dispatcher) Admit(subs []SubRequest, minimum int) (SubReply, bool) {
+	waits := make([]time.Duration, 0, len(subs))
+	for i := range subs {
+		if wait, usable := d.smoothedWait(&subs[i]); usable {
+			waits = append(waits, wait)
+		}
+	}
+	first := &subs[0]
+	if len(waits) < minimum {
+		return notSent(*first, hysquery.ShardUnavailable, "too few shards have searchers", unavailableRetry), false
+	}
+	slices.Sort(waits)
+	now, wait := d.now(), waits[minimum-1]
+	part := admitted(wait, first.allowance(now))
+	if first.drawn() > part {
+		return notSent(*first, hysquery.ShardOverloaded, "the shards' queues are too long", first.returnAfter(now, wait, part)), false
+	}
+	for i := range subs {
+		subs[i].Admitted = true
+	}
+	return SubReply{}, true
+}
+
+// smoothedWait returns how long a sub-request would wait, and whether its shard
+// has a searcher.
+func (d *Dispatcher) smoothedWait(sub *SubRequest) (time.Duration, bool) {
+	t := d.table(sub.Service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &call{dispatcher: d, table: t, sub: *sub}
+	s, ok := t.shards[c.key()]
+	if !ok || !s.hasReplica() {
+		return 0, false
+	}
+	key := pressureKey{group: sub.Group, class: sub.Class}
+	return s.pressure.smooth(key, t.now(), s.wait(c.item(s, nil))), true
+}
+
+// refusable reports whether the sub-request may be refused for a long queue
+// though it could be run before its deadline.
+func (s *SubRequest) refusable() bool { return s.Idempotent || s.Goal > 0 }
+
+// allowance is the time within which the sub-request is worth running.
+func (s *SubRequest) allowance(now time.Time) time.Duration {
+	left := s.Deadline.Sub(now)
+	switch {
+	case s.Goal == 0:
+		return left
+	case s.Returning:
+		return min(returningGoals*s.Goal, left)
+	default:
+		return min(s.Goal, left)
+	}
+}
+
+// returnAfter is when a refused sub-request should be sent again. With a goal it
+// is at a third of the time that its caller has, so that a burst is likely to be
+// over, less a part that spreads those that were refused together.
+func (s *SubRequest) returnAfter(now time.Time, wait time.Duration, part float64) time.Duration {
+	if s.Goal == 0 {
+		return max(wait, minRetryAfter)
+	}
+	longest := s.Deadline.Sub(now).Seconds() * returnPart
+	part = max(part, 0)
+	place := (s.drawn() - part) / (1 - part)
+	return max(wait, time.Duration(longest*(1-returnSpread*place)*float64(time.Second)), minRetryAfter)
+}
+
 // hasReplica reports whether a searcher of the shard may get sub-requests.
 func (s *shard) hasReplica() bool {
 	return slices.ContainsFunc(s.replicas, func(r *replica) bool { return r.state() != stateLeaving })
--- a/core/hysdispatch/concurrency.go
+++ b/core/hysdispatch/concurrency.go
@@ -8,7 +8,7 @@
 	minConcurrency = 0.1
 	// congestedPart is the part of its goal that a send may take; a longer one
 	// hardly helps its query any more.
-	congestedPart = 0.7
+	congestedPart = 0.5
 	// congestedFactor is what a congested send leaves of the concurrency.
 	congestedFactor = 0.8
 	// recoveryStep is what a send in time adds to it.
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -53,6 +53,11 @@
 	// MaxRuns is how many searchers may run the sub-request; 0 stands for the
 	// default.
 	MaxRuns int
+	// Returning sub-requests are of callers who were refused before. They are
+	// refused again only for longer queues.
+	Returning bool
+	// Admitted sub-requests are not refused for a long queue: Admit has decided.
+	Admitted bool
 	// RetryNotRun allows another send of a non-idempotent sub-request whenever
 	// a searcher has said that it did not run it.
 	RetryNotRun bool
--- a/core/hysroute/route.go
+++ b/core/hysroute/route.go
@@ -68,6 +68,8 @@
 	Class hysquery.Class
 
 	mu sync.Mutex
+	// longest is the longest time that a caller has waited for.
+	longest time.Duration
 	// credit is how much of its share each branch is owed.
 	credit []float64
 }
@@ -119,6 +121,19 @@
 	return names
 }
 
+// returningPart is the part of the longest time that callers wait for below
+// which a caller is taken to have waited before.
+const returningPart = 0.85
+
+// Returning reports whether a caller who waits for a time has likely waited
+// before and was refused: it has less time left than others of the route.
+func (r *Route) Returning(waits time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.longest = max(r.longest, waits)
+	return waits.Seconds() < returningPart*r.longest.Seconds()
+}
+
 // Pick returns the service of the next request. The branches take turns by
 // their weights, so that the shares also hold over few requests.
 func (r *Route) Pick() hysservice.Name {
--- a/core/hysroute/route_test.go
+++ b/core/hysroute/route_test.go
@@ -95,6 +95,15 @@
 		}
 	})
 
+	It("knows a caller who has waited before by the time that it has left", func() {
+		r := route("r", "/", 0)
+		Expect(r.Returning(time.Second)).To(BeFalse())
+		Expect(r.Returning(990 * time.Millisecond)).To(BeFalse())
+		Expect(r.Returning(650 * time.Millisecond)).To(BeTrue())
+		Expect(r.Returning(2 * time.Second)).To(BeFalse())
+		Expect(r.Returning(time.Second)).To(BeTrue())
+	})
+
 	DescribeTable("needs a minimum of its shards",
 		func(shards int, minimum float64, want int) {
 			r := route("r", "/", 0)
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -103,7 +103,7 @@
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: hedgePercent, Unknown: unknownDelay, Reserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime))
 	f.ingress = &hysingress.Ingress{
-		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit,
+		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
 		Observe: f.observe, Closing: f.turnsAway,
 	}
 	return f
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -74,6 +74,8 @@
 	Latency       time.Duration
 	// Allowed is how much time the request had.
 	Allowed time.Duration
+	// Returning callers have likely been refused before.
+	Returning bool
 	// Shards is how many there are, Answered how many the answer covers.
 	Shards   int
 	Answered int
@@ -100,6 +102,9 @@
 	// StateFunc returns the configuration in force. While there is none it waits
 	// for the first one, and returns nil if that does not come soon.
 	StateFunc func(context.Context) *hysroute.Configuration
+	// AdmitFunc decides whether a query may be run whose answer needs a minimum
+	// of its shards. The reply to a refused one says when to send it again.
+	AdmitFunc func(subs []hysdispatch.SubRequest, minimum int) (hysdispatch.SubReply, bool)
 	// ObserveFunc is told of each request that has ended.
 	ObserveFunc func(Record)
 )
@@ -109,6 +114,8 @@
 	Headers Headers
 	State   StateFunc
 	Submit  hysgather.SubmitFunc
+	// Admit decides whether a query may be run.
+	Admit   AdmitFunc
 	Observe ObserveFunc
 	// Closing reports whether connections are to be closed after an answer.
 	Closing func() bool
@@ -171,7 +178,9 @@
 func (e *exchange) setDeadline() {
 	e.record.Allowed = e.route.Timeout
 	if ms, err := strconv.ParseInt(e.request.Header.Get(e.ingress.Headers.Deadline), 10, 64); err == nil && ms > 0 {
-		e.record.Allowed = min(e.record.Allowed, time.Duration(ms)*time.Millisecond)
+		waits := time.Duration(ms) * time.Millisecond
+		e.record.Returning = e.route.Returning(waits)
+		e.record.Allowed = min(e.record.Allowed, waits)
 	}
 	e.deadline = e.start.Add(e.record.Allowed)
 }
@@ -236,9 +245,9 @@
 // subRequest is what is sent to one searcher of a service.
 func (e *exchange) subRequest(service hysservice.Name) hysdispatch.SubRequest {
 	return hysdispatch.SubRequest{
-		RequestID: e.record.ID, Group: hysgroup.Name(e.route.Host), Weight: 1,
+		RequestID: e.record.ID, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
-		Deadline: e.deadline, Goal: e.route.Goal, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
+		Deadline: e.deadline, Goal: e.route.Goal, Returning: e.record.Returning, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
 	}
 }
 
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -76,6 +76,7 @@
 	Path         string                            `json:"path"`
 	Replies      map[hysservice.Name]scriptedReply `json:"replies"`
 	Unconfigured bool                              `json:"unconfigured"`
+	Overloaded   bool                              `json:"overloaded"`
 	Anonymous    bool                              `json:"anonymous"`
 	BodyBytes    int                               `json:"body-bytes"`
 	HeadBytes    int                               `json:"head-bytes"`
@@ -108,6 +109,12 @@
 			}
 			return configuration()
 		},
+		Admit: func([]hysdispatch.SubRequest, int) (hysdispatch.SubReply, bool) {
+			if c.Overloaded {
+				return hysdispatch.SubReply{Reason: "overloaded", RetryAfter: 400 * time.Millisecond}, false
+			}
+			return hysdispatch.SubReply{}, true
+		},
 		Submit: func(ctx context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
 			f.subs <- sub
 			reply := c.Replies[sub.Service]
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -26,8 +26,13 @@
 	for _, service := range shards {
 		s.SubRequests = append(s.SubRequests, e.subRequest(service))
 	}
+	e.record.Shards = len(shards)
+	if refusal, ok := e.ingress.Admit(s.SubRequests, s.Policy.Minimum); !ok {
+		e.refuse(refusal.Reason, refusal.RetryAfter)
+		return
+	}
 	result := s.Run(ctx)
-	e.record.Shards, e.record.Answered = len(shards), result.Answered
+	e.record.Answered = result.Answered
 	for _, reply := range result.Replies {
 		e.record.Sends += reply.Sends
 	}
