--- a/cmd/hyssopshore/front.go
+++ b/cmd/hyssopshore/front.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"hyssopshore/io/hysfront"
 	"hyssopshore/io/hyslog"
@@ -18,9 +20,9 @@
 The platform writes the settings file and names its path in the environment.
 The daemon reads routes and searchers from the platform's store and keeps
 nothing. It logs JSON lines on standard output; docs/OPERATIONS.md leads from a
-request's id to its cause. SIGHUP reads the settings again; a file with problems
-is logged and the old settings hold. On SIGTERM the daemon reports that it is
-not ready, finishes what runs, and exits with 0.
+request's id to its cause. SIGHUP reads the settings again, as does a change of
+the file; one with problems is logged and the old settings hold. On SIGTERM the
+daemon reports that it is not ready, finishes what runs, and exits with 0.
 
 Examples:
   hyssopshore front
@@ -51,29 +53,50 @@
 	return nil
 }
 
-// reloads reads the settings again on each SIGHUP.
+// settingsInterval is how often the settings are looked at, since they may also
+// change without a signal.
+const settingsInterval = 5 * time.Second
+
+// reloads reads the settings again on each SIGHUP and whenever they change.
 func reloads(ctx context.Context, path string, log *slog.Logger) <-chan hysfront.Settings {
+	changed := make(chan hysfront.Settings)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	changed := make(chan hysfront.Settings)
 	go func() {
 		defer signal.Stop(hangups)
+		ticker := time.NewTicker(settingsInterval)
+		defer ticker.Stop()
+		// A file that can not be read now is read at the next look.
+		last, _ := os.ReadFile(path)
 		for {
+			asked := false
 			select {
 			case <-ctx.Done():
 				return
 			case <-hangups:
+				asked = true
+			case <-ticker.C:
 			}
-			settings, err := hysplatform.LoadSettings(path)
-			if err != nil {
-				log.Warn("settings not reloaded, the old ones hold", "error", err)
+			data, err := os.ReadFile(path)
+			if err == nil && !asked && bytes.Equal(data, last) {
 				continue
 			}
-			select {
-			case changed <- settings:
-			case <-ctx.Done():
-			}
+			last = data
+			reload(ctx, path, log, changed)
 		}
 	}()
 	return changed
 }
+
+// reload hands new settings on. Those that can't be used change nothing.
+func reload(ctx context.Context, path string, log *slog.Logger, changed chan<- hysfront.Settings) {
+	settings, err := hysplatform.LoadSettings(path)
+	if err != nil {
+		log.Warn("settings not reloaded, the old ones hold", "error", err)
+		return
+	}
+	select {
+	case changed <- settings:
+	case <-ctx.Done():
+	}
+}
