--- a/core/hysdispatch/load_test.go
+++ b/core/hysdispatch/load_test.go
@@ -32,11 +32,11 @@
 	return sub
 }
 
-var _ = Describe("searchers that refuse a part while they count as healthy", func() {
-	// The near replica and one of the far ones refuse 60 of 100 requests at once;
+var _ = Describe("searchers that lose a part while they count as healthy", func() {
+	// The near replica and one of the far ones lose 60 of 100 requests at once;
 	// the other far one answers all of them. The requests are rare, so that the
 	// pause after a refusal ends before the next one.
-	It("moves the load to the one that answers", func() {
+	DescribeTable("leave the load to the one that answers", func(fault hysdispatch.Fault) {
 		random := rand.New(rand.NewPCG(1, 2))
 		var mu sync.Mutex
 		var refused atomic.Int64
@@ -48,7 +48,7 @@
 		d := forwarding(func(_ context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
 			if refuses(to.ID) {
 				refused.Add(1)
-				return hysdispatch.Result{Fault: hysdispatch.FaultShed, NotSent: true}
+				return hysdispatch.Result{Fault: fault, NotSent: fault == hysdispatch.FaultShed}
 			}
 			span := 8 * time.Millisecond
 			if to.ID != "s-0" {
@@ -77,7 +77,10 @@
 		wait.Wait()
 		Expect(refused.Load()).To(BeNumerically("<", requests/10))
 		Expect(answered.Load()).To(BeNumerically(">", requests*90/100))
-	})
+	},
+		Entry("by refusing them", hysdispatch.FaultShed),
+		Entry("by closing their connections", hysdispatch.FaultSilent),
+	)
 })
 
 var _ = Describe("searchers that pause for a moment", func() {
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -112,7 +112,7 @@
 // countsAgainst reports whether the fault is the searcher's.
 func (f Fault) countsAgainst() bool {
 	switch f {
-	case FaultRefused, FaultShed, FaultLost, FaultFailed, FaultStalled, FaultMisdirected:
+	case FaultRefused, FaultShed, FaultLost, FaultSilent, FaultFailed, FaultStalled, FaultMisdirected:
 		return true
 	default:
 		return false
