--- a/io/hysingress/reply.go
+++ b/io/hysingress/reply.go
@@ -30,6 +30,10 @@
 // minRetryAfter is the shortest time after which callers are asked to return.
 const minRetryAfter = 10 * time.Millisecond
 
+// failedText tells callers of a failure; the log has its cause, which names
+// addresses.
+const failedText = "no searcher gave a whole answer; the request may have run"
+
 // refuse says that the request has not run and never will, and when to send it
 // again.
 func (e *exchange) refuse(reason string, retry time.Duration) {
@@ -56,7 +60,7 @@
 // fail says that the request has no answer; it may have run.
 func (e *exchange) fail(status int, reason string) {
 	e.record.Outcome, e.record.Reason = OutcomeFailed, reason
-	e.writeOwn(status, reason, http.Header{})
+	e.writeOwn(status, failedText, http.Header{})
 }
 
 // abandon ends a request whose caller has left.
