--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -116,7 +116,7 @@
 	if o.result.NotSent {
 		c.unrun++
 	}
-	c.last, c.from = o.result, o.waiter.replica.Searcher.ID
+	c.last, c.from = o.result, o.searcher
 	switch o.result.Fault {
 	case FaultNone:
 		return SubReply{
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -157,7 +157,7 @@
 	if class == hysquery.ClassUrgent {
 		return true
 	}
-	return len(r.active) < r.concurrency.sends() && !now.Before(r.bulkAt)
+	return len(r.active) < r.concurrency.bulkSends() && !now.Before(r.bulkAt)
 }
 
 // expected returns how long a sub-request is likely to take where one usually
@@ -194,15 +194,19 @@
 	r.used = now
 	latency := now.Sub(w.started)
 	r.observe(now, result, latency, w.sub)
-	r.rest(now.Add(r.concurrency.rest(latency)), w.sub.Class)
+	r.rest(now, latency, w.sub.Class)
 }
 
-// rest delays the next sends until a time.
-func (r *replica) rest(until time.Time, class hysquery.Class) {
-	if until.After(r.bulkAt) {
+// rest delays the next sends after one that took a time: the bulk ones after
+// any, the urgent ones after urgent ones.
+func (r *replica) rest(now time.Time, latency time.Duration, class hysquery.Class) {
+	if until := now.Add(r.concurrency.rest(latency, hysquery.ClassBulk)); until.After(r.bulkAt) {
 		r.bulkAt = until
 	}
-	if class == hysquery.ClassUrgent && until.After(r.retryAt) {
+	if class != hysquery.ClassUrgent {
+		return
+	}
+	if until := now.Add(r.concurrency.rest(latency, hysquery.ClassUrgent)); until.After(r.retryAt) {
 		r.retryAt = until
 	}
 }
@@ -225,7 +229,7 @@
 		r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
 		r.retryAt = now.Add(max(r.backoff, min(result.RetryAfter, maxBackoff)))
 	case FaultShed:
-		r.shed(sub.Goal)
+		r.shed(sub)
 		r.pause = min(max(r.pause*2, minShedPause), maxShedPause)
 		r.retryAt = now.Add(max(r.pause, min(result.RetryAfter, maxShedPause)))
 	case FaultDraining:
@@ -236,7 +240,7 @@
 			r.recordLatency(latency)
 		}
 		if r.concurrency.congested(latency, sub.Goal) {
-			r.concurrency.cut()
+			r.concurrency.cut(sub.Class)
 		}
 	case FaultSilent:
 		// The connection failed, not the searcher.
@@ -249,19 +253,23 @@
 	if sub.Class == hysquery.ClassUrgent {
 		r.urgentAt = now
 	}
-	bulkOnly := now.Sub(r.urgentAt) > urgentSpan
-	if sub.Goal == 0 || sub.Class == hysquery.ClassUrgent || bulkOnly || r.concurrency.congested(latency, sub.Goal) {
-		r.concurrency.answered(latency, sub.Goal)
+	r.concurrency.record(latency, sub.Class)
+	switch {
+	case r.concurrency.congested(latency, sub.Goal):
+		r.concurrency.cut(sub.Class)
+	case sub.Goal == 0 || sub.Class == hysquery.ClassUrgent || now.Sub(r.urgentAt) > urgentSpan:
+		r.concurrency.grow(sub.Goal)
 	}
 }
 
 // shed notes a refusal: another dispatcher may hold the slots.
-func (r *replica) shed(goal time.Duration) {
-	if goal > 0 {
-		r.concurrency.cut()
+func (r *replica) shed(sub SubRequest) {
+	if sub.Goal > 0 {
+		r.concurrency.cut(sub.Class)
 		return
 	}
 	r.concurrency.limit = max(min(r.concurrency.limit, float64(len(r.active))), 1)
+	r.concurrency.bulk = r.concurrency.limit
 }
 
 func (r *replica) recordLatency(latency time.Duration) {
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -65,8 +65,9 @@
 
 // outcome is the end of one send.
 type outcome struct {
-	waiter *waiter
-	result Result
+	waiter   *waiter
+	searcher hysmember.SearcherID
+	result   Result
 }
 
 // job holds a copy of the searcher, which may be replaced while it runs.
@@ -263,7 +264,7 @@
 		result = stalled(j.waiter.ctx, t.send(j.waiter.ctx, j.searcher, j.waiter.sub))
 	}
 	t.finish(r, j, result)
-	j.waiter.results <- outcome{waiter: j.waiter, result: result}
+	j.waiter.results <- outcome{waiter: j.waiter, searcher: j.searcher.ID, result: result}
 }
 
 func (t *table) finish(r *replica, j job, result Result) {
