--- a/io/hysclaims/model_test.go
+++ b/io/hysclaims/model_test.go
@@ -11,78 +11,20 @@
 
 	"hyssopshore/core/hysclaim"
 	"hyssopshore/core/hysquery"
+	"hyssopshore/internal/hysmodel"
 	"hyssopshore/io/hysclaims"
-	"hyssopshore/io/hysstore"
 )
 
-// modelStore is a store in memory that fails as told.
-type modelStore struct {
-	revision hysstore.Revision
-	values   map[string]hysstore.Value
-	previous map[string]hysstore.Value
-	held     []func()
-	// faults are what happens to the next calls, then none does.
-	faults []string
-}
-
-func (s *modelStore) next() string {
-	if len(s.faults) == 0 {
-		return ""
-	}
-	f := s.faults[0]
-	s.faults = s.faults[1:]
-	return f
-}
-
-func (s *modelStore) get(_ context.Context, key string) (hysstore.Value, error) {
-	value := s.values[key]
-	switch s.next() {
-	case "refuse":
-		return hysstore.Value{}, hysstore.ErrUnavailable
-	case "stale":
-		value = s.previous[key]
-	}
-	if value.Revision == 0 {
-		return value, hysstore.ErrNotFound
-	}
-	return value, nil
-}
-
-func (s *modelStore) swap(key string, data []byte, expected hysstore.Revision) (hysstore.Revision, error) {
-	if s.values[key].Revision != expected {
-		return 0, hysstore.ErrConflict
-	}
-	s.revision++
-	s.previous[key] = s.values[key]
-	s.values[key] = hysstore.Value{Data: data, Revision: s.revision}
-	return s.revision, nil
-}
-
-func (s *modelStore) put(_ context.Context, key string, data []byte, expected hysstore.Revision) (hysstore.Revision, error) {
-	switch s.next() {
-	case "refuse":
-		return 0, hysstore.ErrUnavailable
-	case "drop":
-		return 0, hysstore.ErrUnknown
-	case "lose":
-		_, _ = s.swap(key, data, expected)
-		return 0, hysstore.ErrUnknown
-	case "hold":
-		s.held = append(s.held, func() { _, _ = s.swap(key, data, expected) })
-		return 0, hysstore.ErrUnknown
-	}
-	return s.swap(key, data, expected)
-}
-
 // TestAtMostOnce compares the claims of three daemons, which die and restart,
 // with a simple oracle: an id is won at most once ever, and a first claim
 // without a fault is won.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
-		s := &modelStore{values: map[string]hysstore.Value{}, previous: map[string]hysstore.Value{}}
+		s := hysmodel.NewStore()
+		s.StaleMayMiss = true
 		start := func() *hysclaims.Claims {
-			return hysclaims.New(nil, hysclaims.WithStore(s.get, s.put), hysclaims.WithPause(0))
+			return hysclaims.New(nil, hysclaims.WithStore(s.Get, s.Put), hysclaims.WithPause(0))
 		}
 		daemons := []*hysclaims.Claims{start(), start(), start()}
 		won := make(map[hysquery.RequestID]hysclaim.Claim)
@@ -94,10 +36,10 @@
 				d := rapid.IntRange(0, 2).Draw(t, "daemon")
 				minute := rapid.SampledFrom([]int{0, 1, 80, 81, 160}).Draw(t, "minute")
 				id := idAt(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "id")), minute)
-				s.faults = rapid.SliceOfN(fault, 0, 4).Draw(t, "faults")
-				clean := len(s.faults) == 0 && !tried[id] && minute >= newest
+				s.Faults = rapid.SliceOfN(fault, 0, 4).Draw(t, "faults")
+				clean := len(s.Faults) == 0 && !tried[id] && minute >= newest
 				claim, mine, err := daemons[d].Claim(ctx, id)
-				s.faults = nil
+				s.Faults = nil
 				tried[id] = true
 				newest = max(newest, minute)
 				if clean && (err != nil || !mine) {
@@ -125,12 +67,7 @@
 			"restart": func(t *rapid.T) {
 				daemons[rapid.IntRange(0, 2).Draw(t, "daemon")] = start()
 			},
-			"deliver held writes": func(*rapid.T) {
-				for _, f := range s.held {
-					f()
-				}
-				s.held = nil
-			},
+			"deliver held writes": func(*rapid.T) { s.Deliver() },
 		})
 	})
 }
--- a/io/hysconfig/model_test.go
+++ b/io/hysconfig/model_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"strings"
 	"testing"
 
@@ -12,116 +11,29 @@
 
 	"hyssopshore/core/hysgroup"
 	"hyssopshore/core/hysticket"
+	"hyssopshore/internal/hysmodel"
 	"hyssopshore/io/hysconfig"
 	"hyssopshore/io/hysstore"
 )
 
-// modelStore is a store in memory that fails as told.
-type modelStore struct {
-	revision hysstore.Revision
-	values   map[string]hysstore.Value
-	previous map[string]hysstore.Value
-	held     []func()
-	// faults are what happens to the next calls, then none does.
-	faults []string
-	// beforeHead runs once, before the next write of the head.
-	beforeHead func()
+// calls are the store's calls as a keeper makes them.
+func calls(s *hysmodel.Store) hysconfig.Store {
+	return hysconfig.Store{Get: s.Get, Put: s.Put, List: s.List, Delete: s.Delete}
 }
 
-func newModelStore() *modelStore {
-	return &modelStore{values: map[string]hysstore.Value{}, previous: map[string]hysstore.Value{}}
-}
-
-func (s *modelStore) calls() hysconfig.Store {
-	return hysconfig.Store{Get: s.get, Put: s.put, List: s.list, Delete: s.remove}
-}
-
-func (s *modelStore) next() string {
-	if len(s.faults) == 0 {
-		return ""
-	}
-	f := s.faults[0]
-	s.faults = s.faults[1:]
-	return f
-}
-
-func (s *modelStore) get(_ context.Context, key string) (hysstore.Value, error) {
-	value := s.values[key]
-	switch s.next() {
-	case "refuse":
-		return hysstore.Value{}, hysstore.ErrUnavailable
-	case "stale":
-		if old, ok := s.previous[key]; ok {
-			value = old
+// beforeHead runs work once, before the next write of the head.
+func beforeHead(s *hysmodel.Store, work func()) {
+	s.BeforePut = func(key string) {
+		if strings.HasSuffix(key, "/head") {
+			s.BeforePut = nil
+			work()
 		}
 	}
-	if value.Revision == 0 {
-		return value, hysstore.ErrNotFound
-	}
-	return value, nil
-}
-
-func (s *modelStore) swap(key string, data []byte, expected hysstore.Revision) (hysstore.Revision, error) {
-	if s.values[key].Revision != expected {
-		return 0, hysstore.ErrConflict
-	}
-	s.revision++
-	if old, ok := s.values[key]; ok {
-		s.previous[key] = old
-	}
-	s.values[key] = hysstore.Value{Data: data, Revision: s.revision}
-	return s.revision, nil
-}
-
-func (s *modelStore) put(_ context.Context, key string, data []byte, expected hysstore.Revision) (hysstore.Revision, error) {
-	if f := s.beforeHead; f != nil && strings.HasSuffix(key, "/head") {
-		s.beforeHead = nil
-		f()
-	}
-	switch s.next() {
-	case "refuse":
-		return 0, hysstore.ErrUnavailable
-	case "drop":
-		return 0, hysstore.ErrUnknown
-	case "lose":
-		_, _ = s.swap(key, data, expected)
-		return 0, hysstore.ErrUnknown
-	case "hold":
-		s.held = append(s.held, func() { _, _ = s.swap(key, data, expected) })
-		return 0, hysstore.ErrUnknown
-	}
-	return s.swap(key, data, expected)
-}
-
-func (s *modelStore) list(_ context.Context, prefix string) ([]hysstore.Entry, error) {
-	var entries []hysstore.Entry
-	for _, key := range slices.Sorted(maps.Keys(s.values)) {
-		if strings.HasPrefix(key, prefix) {
-			entries = append(entries, hysstore.Entry{Key: key, Revision: s.values[key].Revision})
-		}
-	}
-	return entries, nil
-}
-
-func (s *modelStore) remove(_ context.Context, key string, expected hysstore.Revision) error {
-	if s.values[key].Revision != expected {
-		return hysstore.ErrConflict
-	}
-	delete(s.values, key)
-	return nil
-}
-
-func (s *modelStore) restore(backup map[string]hysstore.Value) {
-	s.values = make(map[string]hysstore.Value, len(backup))
-	for key, v := range backup {
-		s.revision++
-		s.values[key] = hysstore.Value{Data: v.Data, Revision: s.revision}
-	}
 }
 
 // model is three daemons over a store, and the oracle.
 type model struct {
-	store    *modelStore
+	store    *hysmodel.Store
 	keepers  []*hysconfig.Keeper
 	tickets  map[hysticket.Number]hysticket.Ticket
 	accepted map[hysticket.Digest]hysticket.Ticket
@@ -132,7 +44,7 @@
 
 func newModel() *model {
 	m := &model{
-		store: newModelStore(), tickets: map[hysticket.Number]hysticket.Ticket{},
+		store: hysmodel.NewStore(), tickets: map[hysticket.Number]hysticket.Ticket{},
 		accepted: map[hysticket.Digest]hysticket.Ticket{},
 	}
 	for range 3 {
@@ -143,7 +55,7 @@
 }
 
 func (m *model) start() *hysconfig.Keeper {
-	return hysconfig.New(nil, hysconfig.WithStore(m.store.calls()), hysconfig.WithTiming(hysconfig.Timing{}), hysconfig.WithRaceDelay(1))
+	return hysconfig.New(nil, hysconfig.WithStore(calls(m.store)), hysconfig.WithTiming(hysconfig.Timing{}), hysconfig.WithRaceDelay(1))
 }
 
 // ticket draws a ticket: a new one, or one that was sent before.
@@ -170,13 +82,13 @@
 	d := rapid.IntRange(0, 2).Draw(t, "daemon")
 	ticket := m.ticket(t)
 	fault := rapid.SampledFrom([]string{"", "refuse", "stale", "drop", "lose", "hold"})
-	m.store.faults = rapid.SliceOfN(fault, 0, 6).Draw(t, "faults")
+	m.store.Faults = rapid.SliceOfN(fault, 0, 6).Draw(t, "faults")
 	if rapid.IntRange(0, 2).Draw(t, "between") == 0 {
 		other := m.keepers[(d+1)%3]
-		m.store.beforeHead = func() { _, _ = other.Collect(context.Background()) }
+		beforeHead(m.store, func() { _, _ = other.Collect(context.Background()) })
 	}
 	result, err := m.keepers[d].Apply(context.Background(), ticket)
-	m.store.faults, m.store.beforeHead = nil, nil
+	m.store.Faults, m.store.BeforePut = nil, nil
 	_, sent := m.tickets[ticket.Number]
 	ticket.Defaults()
 	switch result {
@@ -301,9 +213,9 @@
 				_ = m.keepers[daemon(t)].Refresh(ctx)
 			},
 			"stale refresh": func(t *rapid.T) {
-				m.store.faults = []string{"stale", "stale"}
+				m.store.Faults = []string{"stale", "stale"}
 				_ = m.keepers[daemon(t)].Refresh(ctx)
-				m.store.faults = nil
+				m.store.Faults = nil
 			},
 			"exchange": func(t *rapid.T) {
 				m.keepers[daemon(t)].Merge(m.keepers[daemon(t)].State())
@@ -319,19 +231,14 @@
 				m.keepers[d] = m.start()
 				m.keepers[d].Merge(m.keepers[(d+1)%3].State())
 			},
-			"deliver held writes": func(*rapid.T) {
-				for _, f := range m.store.held {
-					f()
-				}
-				m.store.held = nil
-			},
-			"back up": func(*rapid.T) { backup = maps.Clone(m.store.values) },
+			"deliver held writes": func(*rapid.T) { m.store.Deliver() },
+			"back up":             func(*rapid.T) { backup = maps.Clone(m.store.Values) },
 			"restore": func(*rapid.T) {
 				// A restore takes longer than the spread between peers.
 				m.exchange()
-				m.store.restore(backup)
+				m.store.Restore(backup)
 				// The connections of writes that were under way are cut.
-				m.store.held = nil
+				m.store.Held = nil
 				m.restored = true
 			},
 			"heal": m.heal,
@@ -352,7 +259,7 @@
 			t.Fatalf("ticket %d: %v %v", n+1, result, err)
 		}
 	}
-	before := len(m.store.values)
+	before := len(m.store.Values)
 	if _, err := m.keepers[0].Collect(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -360,12 +267,12 @@
 	if err != nil || len(trail) != tickets {
 		t.Fatalf("the trail has %d entries of %d: %v", len(trail), tickets, err)
 	}
-	t.Logf("%d tickets: %d values stored, %d after the collection", tickets, before, len(m.store.values))
+	t.Logf("%d tickets: %d values stored, %d after the collection", tickets, before, len(m.store.Values))
 	// The head, one page of objects, and the pages of the trail.
-	if most := 2 + tickets/16; len(m.store.values) > most {
-		t.Errorf("%d values are left, at most %d", len(m.store.values), most)
+	if most := 2 + tickets/16; len(m.store.Values) > most {
+		t.Errorf("%d values are left, at most %d", len(m.store.Values), most)
 	}
-	if size := len(m.store.values["hyssopshore/head"].Data); size > 32<<10 {
+	if size := len(m.store.Values["hyssopshore/head"].Data); size > 32<<10 {
 		t.Errorf("the head has %d bytes", size)
 	}
 }
