--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -21,8 +21,6 @@
 	Searcher Searcher
 	// Slots is how many requests the searcher runs at once.
 	Slots int
-	// Warmup is how much longer it is slow after its start.
-	Warmup time.Duration
 	// Born tells the starts of one id apart, Sequence its reports since.
 	Born     int64
 	Sequence int64
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysconn"
 )
 
 // ErrConnectionCap means that this instance may open no more connections.
@@ -128,7 +129,7 @@
 	for len(p.idle) > 0 {
 		conn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Now().Before(conn.expires) && conn.open() {
+		if time.Now().Before(conn.expires) && hysconn.Quiet(conn.Conn) {
 			return conn
 		}
 		_ = conn.Close()
--- a/io/hysforward/connection.go
+++ b/io/hysforward/connection.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmessage"
 )
@@ -54,26 +53,6 @@
 	return &connection{Conn: c, reader: bufio.NewReader(c)}
 }
 
-// open reports whether the searcher has kept an idle connection open and sent
-// nothing on it.
-func (c *connection) open() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = peekErr == unix.EAGAIN
-	})
-	return err == nil && idle
-}
-
 // outgoing is a request as it is written to a connection.
 type outgoing struct {
 	request *hysmessage.Request
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -15,11 +15,10 @@
 
 // Defaults of the settings.
 const (
-	defaultStopGrace   = 6 * time.Second
-	defaultRetryShare  = 0.1
-	defaultRetrySlack  = 10
-	defaultRetryWindow = 10 * time.Second
-	defaultMinLease    = time.Second
+	defaultStopGrace  = 6 * time.Second
+	defaultRetryShare = 0.1
+	defaultRetrySlack = 10
+	defaultMinLease   = time.Second
 )
 
 // Settings are what a frontend daemon is started with.
@@ -41,10 +40,9 @@
 	// StopGrace is how long after SIGTERM the process may still run.
 	StopGrace time.Duration
 	// RetryShare and RetrySlack bound the sends of all daemons beyond the first
-	// of each request, in each RetryWindow: a share of the requests and a count.
-	RetryShare  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// of each request: a share of the requests, and a count that may be saved up.
+	RetryShare float64
+	RetrySlack float64
 	// MinLease is the shortest lease of the store.
 	MinLease time.Duration
 }
@@ -60,9 +58,6 @@
 	if s.RetrySlack == 0 {
 		s.RetrySlack = defaultRetrySlack
 	}
-	if s.RetryWindow == 0 {
-		s.RetryWindow = defaultRetryWindow
-	}
 	if s.MinLease == 0 {
 		s.MinLease = defaultMinLease
 	}
--- a/io/hyssearch/client.go
+++ b/io/hyssearch/client.go
@@ -11,6 +11,7 @@
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysconn"
 )
 
 // ErrMismatch means that a reply belongs to another request.
@@ -179,7 +180,7 @@
 	for len(p.idle) > 0 {
 		conn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(conn.lastUsed) < maxIdleTime && conn.open() {
+		if time.Since(conn.lastUsed) < maxIdleTime && hysconn.Quiet(conn.Conn) {
 			return conn
 		}
 		_ = conn.Close()
--- a/io/hyssearch/connection.go
+++ b/io/hyssearch/connection.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"hyssopshore/core/hysmember"
@@ -38,26 +37,6 @@
 	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
 }
 
-// open reports whether the searcher has kept an idle connection open. A request
-// sent on a closed one would be blamed for the end of the searcher.
-func (c *connection) open() bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = peekErr == syscall.EAGAIN
-	})
-	return err == nil && idle
-}
-
 // exchange sends one request and reads its reply. Bytes may have left once it
 // returns, with or without an error. The end of the context closes it.
 func (c *connection) exchange(ctx context.Context, path string, body, into any) error {
