--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -167,11 +167,10 @@
 	if len(r.active) > 0 {
 		return max(r.Distance, r.latency, now.Sub(r.active[0].started))
 	}
+	usual += r.Distance
 	if r.recent.count == 0 {
-		// A replica that is not known is worth a try when the others are slow.
-		return r.Distance + min(usual, unknownTime)
+		return usual
 	}
-	usual += r.Distance
 	idle := now.Sub(r.used).Seconds() / latencyHalfLife.Seconds()
 	return max(r.Distance, usual+time.Duration(float64(r.latency-usual)*math.Exp2(-idle)))
 }
