--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -242,7 +242,7 @@
 			r.concurrency.cut(sub.Class)
 		}
 	case FaultSilent:
-		// The connection failed, not the searcher.
+		// Its share of faults rises, but other connections may work: no backoff.
 	}
 }
 
