--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -97,8 +97,8 @@
 	FaultEpochGone                // epoch-gone
 	FaultRejected                 // rejected
 	FaultQuarantined              // quarantined
-	// FaultSilent is a connection without progress, at a searcher that answers
-	// on others.
+	// FaultSilent is a connection without progress at a searcher that answers on
+	// others, or one used before that ended before the reply.
 	FaultSilent // silent
 	// FaultMisdirected is a searcher that is another one than was meant.
 	FaultMisdirected // misdirected
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -108,6 +108,8 @@
 	return b
 }
 
+// slack is this daemon's share of the extra sends that may be saved up. The
+// caller holds budgetMu.
 func (f *Front) slack() float64 {
 	return slackPart * f.settings.RetrySlack / float64(f.instances.Load())
 }
@@ -148,7 +150,9 @@
 	}
 }
 
-// keepAnnounced renews the announcement, or makes a new one.
+// keepAnnounced renews the announcement, or makes a new one: a lease that can't be
+// renewed has ended or is of no use while the store is away, which is logged when
+// the new one fails too.
 func (f *Front) keepAnnounced(ctx context.Context, lease LeaseID) LeaseID {
 	if lease != 0 && f.source.Renew(ctx, lease) == nil {
 		return lease
--- /dev/null
+++ b/io/hysfront/export_test.go
@@ -0,0 +1,7 @@
+package hysfront
+
+// Configure puts a configuration in force as the loops of a daemon do.
+func (f *Front) Configure(c Configured) bool { return f.configure(c) }
+
+// Version is that of the configuration in force.
+func (f *Front) Version() int64 { return int64(f.state.Load().Version) }
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -23,6 +23,8 @@
 	// minErrorPause and maxErrorPause bound the time between calls that fail.
 	minErrorPause = 200 * time.Millisecond
 	maxErrorPause = time.Second
+	// maxDoublings keeps the pause from overflowing.
+	maxDoublings = 8
 )
 
 // dependency is whether something that the daemon needs is there. It is safe
@@ -116,9 +118,6 @@
 	}
 }
 
-// maxDoublings keeps the error pause from overflowing.
-const maxDoublings = 8
-
 // followOnce reads everything, or what has changed after a revision. It returns
 // where the next call goes on and how long it may wait.
 func (f *Front) followOnce(ctx context.Context, after hysmember.Revision) (hysmember.Revision, time.Duration, error) {
@@ -152,6 +151,8 @@
 	for _, s := range c.Skipped {
 		f.log.Warn("route left out", "route", s.Route, "error", s.Err)
 	}
+	f.configureMu.Lock()
+	defer f.configureMu.Unlock()
 	next, known := c.Configuration, f.state.Load()
 	if next == nil || known != nil && next.Version <= known.Version {
 		return false
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -75,7 +75,11 @@
 	newest   atomic.Pointer[Configured]
 	revision atomic.Int64
 
-	// Lock order: mu, then the dispatcher's locks, then budgetMu.
+	// Lock order: configureMu, then mu, then the dispatcher's locks, then
+	// budgetMu. configureMu is held while a configuration is taken over, which
+	// comes from the store or from another daemon.
+	configureMu sync.Mutex
+
 	mu sync.Mutex
 	// assigned are the services that the dispatcher has searchers of.
 	assigned map[hysservice.Name]bool
@@ -151,8 +155,10 @@
 	f.log.Info("settings reloaded", "stop-grace", s.StopGrace, "retry-share", s.RetryShare, "retry-slack", s.RetrySlack)
 	f.mu.Lock()
 	f.settings.StopGrace = s.StopGrace
-	f.settings.RetrySlack = s.RetrySlack
 	f.mu.Unlock()
+	f.budgetMu.Lock()
+	f.settings.RetrySlack = s.RetrySlack
+	f.budgetMu.Unlock()
 	f.shareBudgets()
 }
 
