Give each port of a test daemon out once

The spec did not look at its error. Ruled out: load (no daemon with distinct ports was late), a source port of an outgoing connection (they leave from 127.0.0.1), another package on the same IP number (none). Specs now fail with the daemon's error if it ends with one.

--- a/internal/hystest/cluster.go
+++ b/internal/hystest/cluster.go
@@ -160,7 +160,7 @@
 	s := hyssettings.Settings{
 		Instance: hysmember.InstanceID(fmt.Sprintf("entry-%d", c.started)),
 		Zone:     Zone, Region: Region,
-		CallerAddress: freeAddress(), PeerAddress: freeAddress(), OperatorAddress: freeAddress(),
+		CallerAddress: FreeAddress(loopback), PeerAddress: FreeAddress(loopback), OperatorAddress: FreeAddress(loopback),
 		StoreAddress: hysmember.Address(c.platform.Listener.Addr().String()),
 		PeerSecret:   Secret, OperatorSecret: Secret, Drain: 300,
 	}
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysroute"
 	"hyssopshore/internal/hyssuite"
+	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysfront"
 	"hyssopshore/io/hysingress"
 )
@@ -132,18 +132,11 @@
 	return l.text.String()
 }
 
-func freeAddress(ip string) hysmember.Address {
-	listener, err := net.Listen("tcp", ip+":0")
-	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return hysmember.Address(listener.Addr().String())
-}
-
 // start starts a daemon; each has an IP number of its own.
 func start(s *store, ip string) *daemon {
 	d := &daemon{stopped: make(chan error, 1), log: &lines{}, settings: hysfront.Settings{
 		Instance: hysmember.InstanceID("entry-" + ip), Zone: "z", Region: "r", Address: ip,
-		CallerAddress: freeAddress(ip), ReadinessAddress: freeAddress(ip), PeerAddress: freeAddress(ip),
+		CallerAddress: hystest.FreeAddress(ip), ReadinessAddress: hystest.FreeAddress(ip), PeerAddress: hystest.FreeAddress(ip),
 		StoreAddress: "127.0.0.1:1", StopGrace: 3 * time.Second,
 	}}
 	d.settings.Defaults()
@@ -154,7 +147,7 @@
 	go func() { d.stopped <- front.Run(ctx, nil) }()
 	DeferCleanup(func() {
 		stop()
-		Eventually(d.stopped, "10s").Should(Receive())
+		Eventually(d.stopped, "10s").Should(Receive(BeNil()))
 	})
 	return d
 }
