Hold callers to the configured times, and show the daemon's state in metrics

Cause: net/http fixes the times for heads and idle connections when a server starts, and the first configuration comes after; so own times (10 s, 75 s) held instead of the configured ones. The frontend daemon set no gauges at all, and the count of lost log lines was read by nobody. A lease that could not be renewed was replaced without a line. Change: each change of the times starts another server on the same port for the connections to come (callers.go); open connections stay with theirs and none is cut. A loop sets the gauges of readiness, store, searchers, queues, daemons and lost lines. The failed renewal is logged. Ruled out: changing the fields of a running server (a data race); closing the old server's idle connections (a request may be on its way).

--- a/cmd/hyssopshore/front.go
+++ b/cmd/hyssopshore/front.go
@@ -46,7 +46,8 @@
 	log := slog.New(hyslog.NewHandler(writer))
 	store := hysplatform.NewStore(settings.StoreAddress)
 	defer store.Close()
-	front := hysfront.New(settings, hysplatform.NewSource(store), hysplatform.Headers(), log)
+	front := hysfront.New(settings, hysplatform.NewSource(store), hysplatform.Headers(), log,
+		hysfront.WithDroppedLines(writer.Dropped))
 	if err := front.Run(ctx, reloads(ctx, path, log)); err != nil {
 		return fmt.Errorf("front: %w", err)
 	}
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -151,11 +151,14 @@
 }
 
 // keepAnnounced renews the announcement, or makes a new one: a lease that can't be
-// renewed has ended or is of no use while the store is away, which is logged when
-// the new one fails too.
+// renewed has ended or is of no use while the store is away.
 func (f *Front) keepAnnounced(ctx context.Context, lease LeaseID) LeaseID {
-	if lease != 0 && f.source.Renew(ctx, lease) == nil {
-		return lease
+	if lease != 0 {
+		err := f.source.Renew(ctx, lease)
+		if err == nil {
+			return lease
+		}
+		f.log.Warn("announcement not renewed", "lease", lease, "error", err)
 	}
 	lease, err := f.source.Announce(ctx, f.settings.Instance, f.settings.PeerAddress, max(announceLease, f.settings.MinLease))
 	if err != nil {
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -157,6 +157,8 @@
 	if next == nil || known != nil && next.Version <= known.Version {
 		return false
 	}
+	// Who learns that the daemon is ready already meets these limits.
+	f.callers.adjust(next.Limits)
 	f.state.Store(next)
 	f.newest.Store(&c)
 	f.log.Info("configuration in force", "version", next.Version, "revision", c.Revision, "routes", len(next.Routes))
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -49,15 +49,18 @@
 
 // Front is one frontend daemon.
 type Front struct {
-	settings   Settings
-	source     Source
-	log        *slog.Logger
-	metrics    *hysmetrics.Metrics
-	directory  *hysmember.Directory
-	forward    *hysforward.Client
-	dispatcher *hysdispatch.Dispatcher
-	ingress    *hysingress.Ingress
-	state      atomic.Pointer[hysroute.Configuration]
+	settings Settings
+	source   Source
+	log      *slog.Logger
+	metrics  *hysmetrics.Metrics
+	// droppedLines counts the lines of the log that were lost.
+	droppedLines func() int64
+	directory    *hysmember.Directory
+	forward      *hysforward.Client
+	dispatcher   *hysdispatch.Dispatcher
+	ingress      *hysingress.Ingress
+	callers      *callers
+	state        atomic.Pointer[hysroute.Configuration]
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	// listed is set once the list of searchers has been read.
@@ -89,14 +92,24 @@
 	budgets   map[hysservice.Name]*hysbudget.Budget
 }
 
+// Option changes a Front.
+type Option func(*Front)
+
+// WithDroppedLines tells how many lines of the log were lost, for the metrics.
+func WithDroppedLines(count func() int64) Option {
+	return func(f *Front) { f.droppedLines = count }
+}
+
 // New returns a daemon that is not yet started.
-func New(s Settings, source Source, headers hysingress.Headers, log *slog.Logger) *Front {
+func New(s Settings, source Source, headers hysingress.Headers, log *slog.Logger, options ...Option) *Front {
 	f := &Front{
 		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
 		directory: hysmember.NewDirectory(), configured: make(chan struct{}),
 		relayed:  hysrelay.NewClient(),
 		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
 		assigned: make(map[hysservice.Name]bool),
+
+		droppedLines: func() int64 { return 0 },
 	}
 	f.instances.Store(unknownInstances)
 	f.forward = hysforward.New(hysforward.Headers{
@@ -110,6 +123,10 @@
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
 		Observe: f.observe, Closing: f.turnsAway,
 	}
+	f.callers = newCallers(f.ingress, f.log)
+	for _, o := range options {
+		o(f)
+	}
 	return f
 }
 
@@ -119,7 +136,7 @@
 	if f.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(f.settings.MemoryBytes)))
 	}
-	servers, err := f.listen()
+	ports, err := f.listen()
 	if err != nil {
 		return fmt.Errorf("Front.Run: %w", err)
 	}
@@ -129,7 +146,7 @@
 	f.log.Info("started", "callers", f.settings.CallerAddress, "readiness", f.settings.ReadinessAddress,
 		"store", f.settings.StoreAddress, "zone", f.settings.Zone, "stop-grace", f.settings.StopGrace)
 	f.serve(ctx, reload)
-	f.drain(servers)
+	f.drain(ports)
 	stop()
 	wait.Wait()
 	f.forward.Close()
@@ -168,6 +185,7 @@
 	wait.Go(func() { f.announce(ctx) })
 	wait.Go(func() { f.relay(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
+	wait.Go(func() { f.measure(ctx) })
 	return &wait
 }
 
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -44,6 +44,7 @@
 	entries  hysmember.Entries
 	changes  []hysfront.Changes
 	peers    []hysmember.Address
+	limits   hysroute.Limits
 }
 
 func (s *store) set(work func()) {
@@ -56,7 +57,7 @@
 	c, _ := hysroute.NewConfiguration(s.version, hysroute.Routes{{
 		Name: hysroute.Name(fmt.Sprint("v", s.version)), Host: "rota.example", Prefix: "/", Idempotent: true,
 		Timeout: 2 * time.Second, Branches: hysroute.Branches{{Service: "roll", Weight: 1}},
-	}}, nil, hysroute.Limits{})
+	}}, nil, s.limits)
 	return hysfront.Configured{Configuration: c, Revision: s.revision, Raw: fmt.Append(nil, s.version)}
 }
 
@@ -132,6 +133,9 @@
 	return l.text.String()
 }
 
+// droppedLines is what the log of each daemon says to have lost.
+const droppedLines = 7
+
 // start starts a daemon; each has an IP number of its own.
 func start(s *store, ip string) *daemon {
 	d := &daemon{stopped: make(chan error, 1), log: &lines{}, settings: hysfront.Settings{
@@ -143,7 +147,8 @@
 	Expect(d.settings.Validate()).To(Succeed())
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
-	front := hysfront.New(d.settings, s.source(), headers, slog.New(slog.NewJSONHandler(d.log, nil)))
+	front := hysfront.New(d.settings, s.source(), headers, slog.New(slog.NewJSONHandler(d.log, nil)),
+		hysfront.WithDroppedLines(func() int64 { return droppedLines }))
 	go func() { d.stopped <- front.Run(ctx, nil) }()
 	DeferCleanup(func() {
 		stop()
@@ -153,12 +158,28 @@
 }
 
 func (d *daemon) ready() int {
-	response, err := http.Get("http://" + string(d.settings.ReadinessAddress) + "/readyz")
+	status, _ := get("http://" + string(d.settings.ReadinessAddress) + "/readyz")
+	return status
+}
+
+// scrape returns the metrics.
+func (d *daemon) scrape() string {
+	_, text := get(fmt.Sprintf("http://%s:%d%s", d.settings.Address, hysfront.MetricsPort, hysfront.MetricsPath))
+	return text
+}
+
+// get returns the status and the body of a response, or 0 and what failed.
+func get(url string) (int, string) {
+	response, err := http.Get(url)
 	if err != nil {
-		return 0
+		return 0, err.Error()
 	}
 	defer response.Body.Close()
-	return response.StatusCode
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
 }
 
 func (d *daemon) ask() (int, string) {
@@ -209,6 +230,15 @@
 		Expect(body).To(Equal("s-1"))
 	})
 
+	It("shows its state in the metrics", func() {
+		d := start(s, "127.0.0.10")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		Eventually(d.scrape, "8s").Should(And(
+			ContainSubstring("hyssopshore_ready 1"), ContainSubstring("hyssopshore_members_usable 1"),
+			ContainSubstring("hyssopshore_log_lines_dropped 7"), ContainSubstring(`hyssopshore_slots{service="roll"} 2`),
+		))
+	})
+
 	It("takes a newer configuration over and never goes back", func() {
 		d := start(s, "127.0.0.3")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -3,13 +3,51 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysingress"
+	"hyssopshore/io/hysmetrics"
 )
 
+// measureInterval is how often the metrics of states are set.
+const measureInterval = 2 * time.Second
+
+// measure keeps the metrics of the daemon's state at the newest.
+func (f *Front) measure(ctx context.Context) {
+	for ; ctx.Err() == nil; sleep(ctx, measureInterval) {
+		entries := f.directory.Entries()
+		usable := 0
+		for _, e := range entries {
+			if !e.Searcher.Leaving {
+				usable++
+			}
+		}
+		f.metrics.Set(hysmetrics.Gauges{
+			Ready: f.ready(), Leaving: f.leaving.Load(), StoreAge: f.store.age(),
+			MembersListed: len(entries), MembersUsable: usable,
+			Instances: f.instances.Load(), DroppedLines: f.droppedLines(),
+		})
+		for _, service := range f.services() {
+			load := f.dispatcher.Load(service)
+			f.metrics.SetService(service, hysmetrics.ServiceGauges{
+				Waiting: load.Waiting, Running: load.Running, Slots: load.Slots, Budget: load.Budget,
+			})
+		}
+	}
+}
+
+// services are those that have had searchers.
+func (f *Front) services() []hysservice.Name {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.assigned))
+}
+
 // observe counts and logs a request that has ended.
 func (f *Front) observe(r hysingress.Record) {
 	f.metrics.ObserveRequest(string(r.Route), r.Outcome.String(), r.Latency, r.Sends)
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -22,10 +22,9 @@
 // Limits of the callers' connections.
 const (
 	// maxHeadBytes bounds a head before the configuration's limit is looked up.
-	maxHeadBytes   = 64 << 10
-	headTimeout    = 10 * time.Second
-	idleTimeout    = 75 * time.Second
-	metricsTimeout = 5 * time.Second
+	maxHeadBytes = 64 << 10
+	// ownTimeout bounds a request to the ports that callers don't use.
+	ownTimeout = 5 * time.Second
 )
 
 // Times of a planned stop.
@@ -37,65 +36,64 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// servers are the daemon's ports.
-type servers struct {
-	callers   *http.Server
-	readiness *http.Server
-	metrics   *http.Server
-	peers     *http.Server
+// port is one of the daemon's ports.
+type port struct {
+	name    string
+	address hysmember.Address
+	serve   func(net.Listener) error
+	close   func()
 }
 
-// listen opens the daemon's ports and serves them.
-func (f *Front) listen() (*servers, error) {
-	quiet := slog.NewLogLogger(f.log.Handler(), slog.LevelDebug)
-	s := &servers{
-		callers: &http.Server{
-			Handler: f.ingress, MaxHeaderBytes: maxHeadBytes, ErrorLog: quiet,
-			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
-		},
-		readiness: &http.Server{Handler: http.HandlerFunc(f.serveReadiness), ErrorLog: quiet, ReadHeaderTimeout: headTimeout},
-		metrics:   &http.Server{Handler: f.metrics.Handler(), ErrorLog: quiet, ReadTimeout: metricsTimeout},
-		peers:     &http.Server{Handler: hysrelay.NewHandler(f.view), ErrorLog: quiet, ReadTimeout: metricsTimeout},
-	}
+// ports are those that the daemon serves.
+func (f *Front) ports() []port {
 	metrics := hysmember.Address(net.JoinHostPort(f.settings.Address, strconv.Itoa(MetricsPort)))
-	ports := []struct {
-		name    string
-		server  *http.Server
-		address hysmember.Address
-	}{
-		{"callers", s.callers, f.settings.CallerAddress},
-		{"readiness", s.readiness, f.settings.ReadinessAddress},
-		{"metrics", s.metrics, metrics},
-		{"peers", s.peers, f.settings.PeerAddress},
+	return []port{
+		{name: "callers", address: f.settings.CallerAddress, serve: f.callers.Serve, close: f.callers.close},
+		f.ownPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness)),
+		f.ownPort("metrics", metrics, f.metrics.Handler()),
+		f.ownPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.view)),
+	}
+}
+
+// ownPort is a port that callers don't use.
+func (f *Front) ownPort(name string, address hysmember.Address, handler http.Handler) port {
+	s := &http.Server{
+		Handler: handler, ReadTimeout: ownTimeout, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
+	// Nothing is served on it any more when it is closed.
+	return port{name: name, address: address, serve: s.Serve, close: func() { _ = s.Close() }}
+}
+
+// listen opens the daemon's ports and serves them.
+func (f *Front) listen() ([]port, error) {
+	ports := f.ports()
 	for _, p := range ports {
 		if p.address == "" {
 			continue
 		}
 		listener, err := net.Listen("tcp", string(p.address))
 		if err != nil {
-			s.close()
+			closePorts(ports)
 			return nil, fmt.Errorf("listen for %s: %w", p.name, err)
 		}
 		go func() {
-			if err := p.server.Serve(listener); err != http.ErrServerClosed {
+			if err := p.serve(listener); err != http.ErrServerClosed {
 				f.log.Error("port lost", "port", p.name, "error", err)
 			}
 		}()
 	}
-	return s, nil
+	return ports, nil
 }
 
-func (s *servers) close() {
-	for _, h := range []*http.Server{s.callers, s.readiness, s.metrics, s.peers} {
-		// Nothing is served on it any more.
-		_ = h.Close()
+func closePorts(ports []port) {
+	for _, p := range ports {
+		p.close()
 	}
 }
 
 // drain stops the daemon without cutting a request: first no new callers come,
 // then what runs is finished.
-func (f *Front) drain(s *servers) {
+func (f *Front) drain(ports []port) {
 	f.leaving.Store(true)
 	f.mu.Lock()
 	grace := f.settings.StopGrace
@@ -105,8 +103,8 @@
 	time.Sleep(accept)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-accept-stopMargin)
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
+	if err := f.callers.shutdown(ctx); err != nil {
 		f.log.Warn("stopped with requests in flight", "error", err)
 	}
-	s.close()
+	closePorts(ports)
 }
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -70,6 +70,11 @@
 	MembersUsable  int
 	RunningQueries int64
 	Quarantined    int
+	// Instances is how many daemons share what all may use together; 0 if
+	// nothing is shared.
+	Instances int64
+	// DroppedLines is how many lines of the log found its queue full.
+	DroppedLines int64
 }
 
 // ServiceGauges are values of one service.
@@ -182,6 +187,8 @@
 	m.scope.Gauge("members_usable").Update(float64(g.MembersUsable))
 	m.scope.Gauge("quarantined").Update(float64(g.Quarantined))
 	m.scope.Gauge("running_requests").Update(float64(g.RunningQueries))
+	m.scope.Gauge("instances").Update(float64(g.Instances))
+	m.scope.Gauge("log_lines_dropped").Update(float64(g.DroppedLines))
 }
 
 // SetService replaces the values of a service.
