Let one daemon of each zone read the store for up to sixteen

The directory numbers its changes, without heartbeats, and tells those since a version (delta.go). The one call replaces View, which daemons that the store turns away used.

--- /dev/null
+++ b/core/hysmember/delta.go
@@ -0,0 +1,96 @@
+package hysmember
+
+import (
+	"maps"
+	"slices"
+)
+
+// maxGone bounds the removed entries that a Directory remembers for others.
+const maxGone = 4096
+
+// Version counts the changes of one Directory. Heartbeats are none.
+type Version uint64
+
+// Delta is what has changed in a Directory since a version.
+type Delta struct {
+	// Version is that of the Directory now.
+	Version Version
+	// Whole is true if Entries are all that there are.
+	Whole   bool
+	Entries Entries
+	Gone    []Gone
+}
+
+// Gone is an entry that is no longer listed, as of a revision.
+type Gone struct {
+	ID       SearcherID
+	Revision Revision
+}
+
+// sameUse reports whether two entries of one id differ in nothing but their
+// heartbeats.
+func (e Entry) sameUse(other Entry) bool {
+	e.Sequence, e.Revision = other.Sequence, other.Revision
+	return e == other
+}
+
+// news remembers when entries changed. The caller holds the Directory's lock.
+type news struct {
+	version Version
+	// oldest is the version since which all removals are remembered.
+	oldest  Version
+	stamps  map[SearcherID]Version
+	gone    map[SearcherID]removal
+	changed chan struct{}
+}
+
+type removal struct {
+	version  Version
+	revision Revision
+}
+
+// closedChannel stands for a change that has already happened.
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+func newNews() news {
+	return news{
+		version: 1, oldest: 1, stamps: make(map[SearcherID]Version), gone: make(map[SearcherID]removal),
+		changed: make(chan struct{}),
+	}
+}
+
+// next counts a change and wakes those who wait for one.
+func (n *news) next() Version {
+	n.version++
+	close(n.changed)
+	n.changed = make(chan struct{})
+	return n.version
+}
+
+func (n *news) put(id SearcherID) {
+	n.stamps[id] = n.next()
+	delete(n.gone, id)
+}
+
+func (n *news) drop(id SearcherID, revision Revision) {
+	delete(n.stamps, id)
+	n.gone[id] = removal{version: n.next(), revision: revision}
+	if len(n.gone) > maxGone {
+		n.forgetHalf()
+	}
+}
+
+// forgetHalf forgets the older half of the removals.
+func (n *news) forgetHalf() {
+	versions := make([]Version, 0, len(n.gone))
+	for _, g := range n.gone {
+		versions = append(versions, g.version)
+	}
+	slices.Sort(versions)
+	n.oldest = versions[len(versions)/2]
+	maps.DeleteFunc(n.gone, func(_ SearcherID, g removal) bool { return g.version <= n.oldest })
+}
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -76,6 +76,7 @@
 	removed  map[SearcherID]Revision
 	away     bool
 	returned time.Time
+	news     news
 }
 
 // NewDirectory returns an empty directory.
@@ -84,6 +85,7 @@
 		entries: make(map[SearcherID]Entry),
 		missing: make(map[SearcherID]time.Time),
 		removed: make(map[SearcherID]Revision),
+		news:    newNews(),
 	}
 }
 
@@ -118,6 +120,9 @@
 	}
 	d.entries[id] = e
 	delete(d.missing, id)
+	if !ok || !e.sameUse(known) {
+		d.news.put(id)
+	}
 	change := Change{ID: id, Service: e.Searcher.Service, Revision: e.Revision}
 	switch {
 	case !ok:
@@ -162,6 +167,7 @@
 	id := known.Searcher.ID
 	delete(d.entries, id)
 	delete(d.missing, id)
+	d.news.drop(id, d.removed[id])
 	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id]}
 }
 
@@ -173,6 +179,7 @@
 	changes, present := d.putAll(listed)
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
 		if known := d.entries[id]; !present[id] && known.Revision <= began {
+			d.removed[id] = max(d.removed[id], began)
 			if c, ok := d.miss(known, now); ok {
 				changes = append(changes, c)
 			}
@@ -181,20 +188,78 @@
 	return changes
 }
 
-// Adopt takes the whole listing of another instance over, which the store
-// serves and which has waited for what might come back.
-func (d *Directory) Adopt(listed Entries, revision Revision) []Change {
+// Apply takes over what another instance knows, up to a revision, which has
+// waited for what might come back.
+func (d *Directory) Apply(x Delta, revision Revision) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	changes, present := d.putAll(listed)
+	changes, present := d.putAll(x.Entries)
+	for _, g := range x.Gone {
+		changes = append(changes, d.forget(g)...)
+	}
+	if !x.Whole {
+		return changes
+	}
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		if known := d.entries[id]; !present[id] && known.Revision <= revision {
-			changes = append(changes, d.drop(known))
+		if !present[id] {
+			changes = append(changes, d.forget(Gone{ID: id, Revision: revision})...)
 		}
 	}
 	return changes
 }
 
+// forget drops an entry unless it was written after it went.
+func (d *Directory) forget(g Gone) []Change {
+	known, ok := d.entries[g.ID]
+	if known.Revision > g.Revision {
+		return nil
+	}
+	d.removed[g.ID] = max(d.removed[g.ID], g.Revision)
+	if !ok {
+		return nil
+	}
+	return []Change{d.drop(known)}
+}
+
+// Since returns what has changed since a version.
+func (d *Directory) Since(v Version) Delta {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := Delta{Version: d.news.version, Whole: v < d.news.oldest || v > d.news.version}
+	if x.Whole {
+		v = 0
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
+		if d.news.stamps[id] > v {
+			x.Entries = append(x.Entries, d.entries[id])
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(d.news.gone)) {
+		if g := d.news.gone[id]; !x.Whole && g.version > v {
+			x.Gone = append(x.Gone, Gone{ID: id, Revision: g.revision})
+		}
+	}
+	return x
+}
+
+// Stamp counts a change of something that is told together with the entries.
+func (d *Directory) Stamp() Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.news.next()
+}
+
+// Changed returns a channel that is closed once something has changed since a
+// version.
+func (d *Directory) Changed(since Version) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if since != d.news.version {
+		return closedChannel
+	}
+	return d.news.changed
+}
+
 // putAll takes entries over and returns their ids too.
 func (d *Directory) putAll(listed Entries) ([]Change, map[SearcherID]bool) {
 	var changes []Change
--- a/internal/gen/front/frontconnect/front.connect.go
+++ b/internal/gen/front/frontconnect/front.connect.go
@@ -34,14 +34,15 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
-	// FrontServiceViewProcedure is the fully-qualified name of the FrontService's View RPC.
-	FrontServiceViewProcedure = "/hyssopshore.front.v1.FrontService/View"
+	// FrontServiceFollowProcedure is the fully-qualified name of the FrontService's Follow RPC.
+	FrontServiceFollowProcedure = "/hyssopshore.front.v1.FrontService/Follow"
 )
 
 // FrontServiceClient is a client for the hyssopshore.front.v1.FrontService service.
 type FrontServiceClient interface {
-	// View returns what the called daemon has learned from the store.
-	View(context.Context, *connect.Request[front.ViewRequest]) (*connect.Response[front.ViewReply], error)
+	// Follow returns what the called daemon has learned from the store since the
+	// caller last asked it, as soon as there is something or the wait is over.
+	Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error)
 }
 
 // NewFrontServiceClient constructs a client for the hyssopshore.front.v1.FrontService service. By
@@ -55,10 +56,10 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	frontServiceMethods := front.File_front_proto.Services().ByName("FrontService").Methods()
 	return &frontServiceClient{
-		view: connect.NewClient[front.ViewRequest, front.ViewReply](
+		follow: connect.NewClient[front.FollowRequest, front.FollowReply](
 			httpClient,
-			baseURL+FrontServiceViewProcedure,
-			connect.WithSchema(frontServiceMethods.ByName("View")),
+			baseURL+FrontServiceFollowProcedure,
+			connect.WithSchema(frontServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -66,18 +67,19 @@
 
 // frontServiceClient implements FrontServiceClient.
 type frontServiceClient struct {
-	view *connect.Client[front.ViewRequest, front.ViewReply]
+	follow *connect.Client[front.FollowRequest, front.FollowReply]
 }
 
-// View calls hyssopshore.front.v1.FrontService.View.
-func (c *frontServiceClient) View(ctx context.Context, req *connect.Request[front.ViewRequest]) (*connect.Response[front.ViewReply], error) {
-	return c.view.CallUnary(ctx, req)
+// Follow calls hyssopshore.front.v1.FrontService.Follow.
+func (c *frontServiceClient) Follow(ctx context.Context, req *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error) {
+	return c.follow.CallUnary(ctx, req)
 }
 
 // FrontServiceHandler is an implementation of the hyssopshore.front.v1.FrontService service.
 type FrontServiceHandler interface {
-	// View returns what the called daemon has learned from the store.
-	View(context.Context, *connect.Request[front.ViewRequest]) (*connect.Response[front.ViewReply], error)
+	// Follow returns what the called daemon has learned from the store since the
+	// caller last asked it, as soon as there is something or the wait is over.
+	Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error)
 }
 
 // NewFrontServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -87,16 +89,16 @@
 // and JSON codecs. They also support gzip compression.
 func NewFrontServiceHandler(svc FrontServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	frontServiceMethods := front.File_front_proto.Services().ByName("FrontService").Methods()
-	frontServiceViewHandler := connect.NewUnaryHandler(
-		FrontServiceViewProcedure,
-		svc.View,
-		connect.WithSchema(frontServiceMethods.ByName("View")),
+	frontServiceFollowHandler := connect.NewUnaryHandler(
+		FrontServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(frontServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/hyssopshore.front.v1.FrontService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
-		case FrontServiceViewProcedure:
-			frontServiceViewHandler.ServeHTTP(w, r)
+		case FrontServiceFollowProcedure:
+			frontServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -106,6 +108,6 @@
 // UnimplementedFrontServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedFrontServiceHandler struct{}
 
-func (UnimplementedFrontServiceHandler) View(context.Context, *connect.Request[front.ViewRequest]) (*connect.Response[front.ViewReply], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.View is not implemented"))
+func (UnimplementedFrontServiceHandler) Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Follow is not implemented"))
 }
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -1,7 +1,6 @@
 package hysfront
 
 import (
-	"context"
 	"time"
 
 	"hyssopshore/core/hysbudget"
@@ -22,12 +21,6 @@
 	slackPart = 0.8
 )
 
-// Rhythm of the announcement of this instance.
-const (
-	announceLease = 12 * time.Second
-	renewInterval = 4 * time.Second
-)
-
 // The least time that a request takes to a searcher and back, by where it is.
 const (
 	zoneDistance   = 400 * time.Microsecond
@@ -122,48 +115,3 @@
 		b.SetLimit(f.slack())
 	}
 }
-
-// announce lists this instance in the store and counts the others.
-func (f *Front) announce(ctx context.Context) {
-	lease := LeaseID(0)
-	for ; ctx.Err() == nil; sleep(ctx, renewInterval) {
-		lease = f.keepAnnounced(ctx, lease)
-		addresses, err := f.source.Instances(ctx)
-		if err != nil || len(addresses) == 0 {
-			// The last count holds; the store's state is logged by the readers.
-			continue
-		}
-		f.noteInstances(addresses)
-	}
-}
-
-// noteInstances adjusts this daemon's share to the number of daemons.
-func (f *Front) noteInstances(addresses []hysmember.Address) {
-	f.mu.Lock()
-	f.announced = addresses
-	f.mu.Unlock()
-	count := int64(len(addresses))
-	if before := f.instances.Swap(count); before != count {
-		f.log.Info("instances counted", "count", count, "before", before)
-		f.shareBudgets()
-		f.assign()
-	}
-}
-
-// keepAnnounced renews the announcement, or makes a new one: a lease that can't be
-// renewed has ended or is of no use while the store is away.
-func (f *Front) keepAnnounced(ctx context.Context, lease LeaseID) LeaseID {
-	if lease != 0 {
-		err := f.source.Renew(ctx, lease)
-		if err == nil {
-			return lease
-		}
-		f.log.Warn("announcement not renewed", "lease", lease, "error", err)
-	}
-	lease, err := f.source.Announce(ctx, f.settings.Instance, f.settings.PeerAddress, max(announceLease, f.settings.MinLease))
-	if err != nil {
-		f.log.Warn("not announced", "error", err)
-		return 0
-	}
-	return lease
-}
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -21,6 +21,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
@@ -73,6 +75,10 @@
 	// this one.
 	others  dependency
 	relayed *hysrelay.Client
+	// following is set while a reader is followed instead of the store.
+	following atomic.Bool
+	// start tells the starts of this daemon apart.
+	start string
 	// newest is the configuration in force, revision that of the store up to
 	// which this daemon knows everything.
 	newest   atomic.Pointer[Configured]
@@ -86,10 +92,16 @@
 	mu sync.Mutex
 	// assigned are the services that the dispatcher has searchers of.
 	assigned map[hysservice.Name]bool
-	// announced are the addresses of all daemons, as last read.
-	announced []hysmember.Address
-	budgetMu  sync.Mutex
-	budgets   map[hysservice.Name]*hysbudget.Budget
+	// announced are all daemons, as last read.
+	announced hysmember.Instances
+	// instancesChanged and configurationChanged are the versions of the
+	// directory at which they last changed.
+	instancesChanged     hysmember.Version
+	configurationChanged hysmember.Version
+	// cursors are where the news of other daemons go on.
+	cursors  map[hysmember.InstanceID]hysrelay.Cursor
+	budgetMu sync.Mutex
+	budgets  map[hysservice.Name]*hysbudget.Budget
 }
 
 // Option changes a Front.
@@ -108,6 +120,8 @@
 		relayed:  hysrelay.NewClient(),
 		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
 		assigned: make(map[hysservice.Name]bool),
+		cursors:  make(map[hysmember.InstanceID]hysrelay.Cursor),
+		start:    uuid.NewString(),
 
 		droppedLines: func() int64 { return 0 },
 	}
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -39,11 +39,12 @@
 	mu       sync.Mutex
 	away     bool
 	reads    int
+	watches  int
 	version  hysroute.Version
 	revision hysmember.Revision
 	entries  hysmember.Entries
 	changes  []hysfront.Changes
-	peers    []hysmember.Address
+	peers    hysmember.Instances
 	limits   hysroute.Limits
 }
 
@@ -79,6 +80,7 @@
 			if s.away {
 				return hysfront.Changes{}, errAway
 			}
+			s.watches++
 			if len(s.changes) == 0 {
 				return hysfront.Changes{Revision: after}, nil
 			}
@@ -94,11 +96,11 @@
 			c.Raw = raw
 			return c, err
 		},
-		Announce: func(context.Context, hysmember.InstanceID, hysmember.Address, time.Duration) (hysfront.LeaseID, error) {
+		Announce: func(context.Context, hysmember.Instance, time.Duration) (hysfront.LeaseID, error) {
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
-		Instances: func(context.Context) ([]hysmember.Address, error) {
+		Instances: func(context.Context) (hysmember.Instances, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return s.peers, nil
@@ -157,6 +159,12 @@
 	return d
 }
 
+// instance is the daemon as others see it.
+func (d *daemon) instance() hysmember.Instance {
+	s := d.settings
+	return hysmember.Instance{ID: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Region: s.Region}
+}
+
 func (d *daemon) ready() int {
 	status, _ := get("http://" + string(d.settings.ReadinessAddress) + "/readyz")
 	return status
@@ -269,7 +277,7 @@
 	It("takes the view of another daemon while the store turns it away", func() {
 		served := start(s, "127.0.0.5")
 		Eventually(served.ready, "2s").Should(Equal(http.StatusOK))
-		turnedAway := &store{away: true, peers: []hysmember.Address{served.settings.PeerAddress}}
+		turnedAway := &store{away: true, peers: hysmember.Instances{served.instance()}}
 		d := start(turnedAway, "127.0.0.6")
 		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
 		status, body := d.ask()
--- /dev/null
+++ b/io/hysfront/reader_test.go
@@ -0,0 +1,88 @@
+package hysfront_test
+
+import (
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysfront"
+)
+
+var _ = Describe("a frontend daemon beside another one of its zone", func() {
+	var entries hysmember.Entries
+	var reader, follower *daemon
+	var readerStore, followerStore *store
+
+	// watched returns how often a daemon has watched the store.
+	watched := func(s *store) func() int {
+		return func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.watches
+		}
+	}
+
+	// startBoth starts two daemons that know each other, each with a view of
+	// the store of its own.
+	startBoth := func(one, other string) {
+		entries = hysmember.Entries{searcher("s-1", 0)}
+		readerStore = &store{version: 1, revision: 5, entries: entries}
+		followerStore = &store{version: 1, revision: 5, entries: entries}
+		reader, follower = start(readerStore, one), start(followerStore, other)
+		all := hysmember.Instances{reader.instance(), follower.instance()}
+		if _, ok := all.Reader(reader.settings.Instance); ok {
+			reader, follower = follower, reader
+			readerStore, followerStore = followerStore, readerStore
+		}
+		for _, s := range []*store{readerStore, followerStore} {
+			s.set(func() { s.peers = all })
+		}
+		Eventually(follower.log.String, "4s").Should(ContainSubstring("reader followed"))
+	}
+
+	It("takes the changes from it, and leaves the store alone", func() {
+		startBoth("127.0.0.11", "127.0.0.12")
+		before := watched(followerStore)()
+		next := &store{version: 4, revision: 30}
+		second := searcher("s-2", 0)
+		second.Revision = 31
+		readerStore.set(func() {
+			readerStore.changes = []hysfront.Changes{{
+				Configured: next.configuration(), Revision: 31, Events: 3,
+				Updates: []hysfront.Update{{ID: "s-2", Entry: second, Revision: 31}, {ID: "s-1", Removed: true, Revision: 29}},
+			}}
+		})
+		Eventually(func() string { _, body := follower.ask(); return body }, "2s").Should(Equal("s-2"))
+		Eventually(follower.log.String, "1s").Should(ContainSubstring(`"configuration":4`))
+		Consistently(watched(followerStore), "1s").Should(BeNumerically("<=", before+1))
+		Expect(reader.log.String()).NotTo(ContainSubstring("reader followed"))
+	})
+
+	It("reads the store itself once the other one has stopped", func() {
+		startBoth("127.0.0.13", "127.0.0.14")
+		reader.stop()
+		next := &store{version: 6, revision: 40}
+		followerStore.set(func() {
+			followerStore.changes = []hysfront.Changes{{Configured: next.configuration(), Revision: 40, Events: 1}}
+		})
+		Eventually(follower.log.String, "4s").Should(And(
+			ContainSubstring("reader lost"), ContainSubstring(`"msg":"configuration in force","instance":"`+string(follower.settings.Instance)+`","version":6`),
+		))
+		Expect(follower.ready()).To(Equal(http.StatusOK))
+	})
+
+	It("reads the store itself while the store does not serve the other one", func() {
+		startBoth("127.0.0.15", "127.0.0.16")
+		readerStore.set(func() { readerStore.away = true })
+		next := &store{version: 7, revision: 50}
+		followerStore.set(func() {
+			followerStore.changes = []hysfront.Changes{{Configured: next.configuration(), Revision: 50, Events: 1}}
+		})
+		within := hysfront.Settings{}
+		within.Defaults()
+		Eventually(follower.log.String, within.ApplyWithin).Should(ContainSubstring(`"version":7`))
+		Eventually(reader.log.String, "3s").Should(ContainSubstring(`"version":7`), "the reader learns it from the follower")
+	})
+})
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -15,8 +15,8 @@
 
 // Reasons why other daemons told nothing.
 const (
-	errNoNewer = errors.ConstError("no other instance has a newer view")
-	errNobody  = errors.ConstError("no other instance is known")
+	errNotFresh = errors.ConstError("the store does not serve that instance either")
+	errNobody   = errors.ConstError("no other instance is known")
 )
 
 // Rhythm and bounds of asking other daemons.
@@ -24,35 +24,24 @@
 	relayInterval = 400 * time.Millisecond
 	// firstRelayInterval is that of a daemon without any configuration.
 	firstRelayInterval = 100 * time.Millisecond
-	// maxViewAge is how old the view of another daemon may be. An older one is
-	// of a daemon that the store does not serve either.
-	maxViewAge = 3 * time.Second
+	// maxNewsAge is how old the news of another daemon may be while the store
+	// does not serve this one.
+	maxNewsAge = 3 * time.Second
 	// askedInstances is how many daemons are asked in one round.
 	askedInstances = 3
 )
 
-// view is what this daemon has learned, for others.
-func (f *Front) view() hysrelay.View {
-	c := f.newest.Load()
-	if c == nil {
-		return hysrelay.View{}
-	}
-	return hysrelay.View{
-		Revision: hysmember.Revision(f.revision.Load()), Age: f.store.age(),
-		Configuration: c.Raw, ConfigurationRevision: c.Revision, Entries: f.directory.Entries(),
-	}
-}
-
 // relay asks other daemons for what the store does not tell this one.
 func (f *Front) relay(ctx context.Context) {
 	for ; ctx.Err() == nil; sleep(ctx, f.relayPause()) {
-		if !f.store.isLost() && f.state.Load() != nil {
+		// A daemon that has just started does not wait for a store that hangs.
+		if !f.store.isLost() && f.listed.Load() {
 			continue
 		}
 		err := f.askOthers(ctx)
 		switch {
-		case err == nil || errors.Is(err, errNoNewer):
-			if away, ok := f.others.regain(); ok {
+		case err == nil:
+			if away, ok := f.others.regain(0); ok {
 				f.log.Info("other instances reached", "away", away)
 			}
 		case f.others.lose():
@@ -69,44 +58,107 @@
 	return relayInterval
 }
 
-// askOthers takes the newest view over that some other daemons have.
+// askOthers takes over what one of some other daemons knows.
 func (f *Front) askOthers(ctx context.Context) error {
 	peers := f.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	last := fmt.Errorf("askOthers: %w", errNobody)
-	for _, address := range peers[:min(len(peers), askedInstances)] {
-		v, err := f.relayed.View(ctx, address, hysmember.Revision(f.revision.Load()))
-		if err != nil {
+	for _, i := range peers[:min(len(peers), askedInstances)] {
+		if _, err := f.askInstance(ctx, i, 0, maxNewsAge); err != nil {
 			last = fmt.Errorf("askOthers: %w", err)
 			continue
 		}
-		if v.Revision > 0 && v.Age <= maxViewAge {
-			return f.adopt(address, v)
-		}
-		last = fmt.Errorf("askOthers: %w", errNoNewer)
+		return nil
 	}
 	return last
 }
 
 // peers are the other daemons that the store has named.
-func (f *Front) peers() []hysmember.Address {
+func (f *Front) peers() hysmember.Instances {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(f.announced), func(a hysmember.Address) bool { return a == f.settings.PeerAddress })
+	return slices.DeleteFunc(slices.Clone(f.announced), func(i hysmember.Instance) bool {
+		return i.Address == "" || i.ID == f.settings.Instance
+	})
 }
 
-// adopt takes the view of another daemon over.
-func (f *Front) adopt(from hysmember.Address, v hysrelay.View) error {
-	c, err := f.source.Decode(v.Configuration)
+// askInstance takes over what another daemon has learned since it was last
+// asked, unless that is too old. It returns how old it is.
+func (f *Front) askInstance(ctx context.Context, i hysmember.Instance, wait, maxAge time.Duration) (time.Duration, error) {
+	n, err := f.relayed.Follow(ctx, i.Address, f.cursor(i.ID), wait)
 	if err != nil {
-		return fmt.Errorf("adopt the view of %s: %w", from, err)
+		return 0, fmt.Errorf("ask %s: %w", i.ID, err)
+	}
+	if n.Revision == 0 || n.Age > maxAge {
+		return 0, fmt.Errorf("ask %s, served %s ago: %w", i.ID, n.Age, errNotFresh)
+	}
+	return n.Age, f.adopt(i.ID, n)
+}
+
+func (f *Front) cursor(id hysmember.InstanceID) hysrelay.Cursor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cursors[id]
+}
+
+// adopt takes the news of another daemon over.
+func (f *Front) adopt(from hysmember.InstanceID, n hysrelay.News) error {
+	var c Configured
+	if len(n.Configuration) > 0 {
+		var err error
+		if c, err = f.source.Decode(n.Configuration); err != nil {
+			return fmt.Errorf("adopt the news of %s: %w", from, err)
+		}
+		c.Revision = n.ConfigurationRevision
 	}
-	c.Revision = v.ConfigurationRevision
-	f.log.Info("view taken from another instance", "address", from, "revision", v.Revision, "age-ms", v.Age.Milliseconds())
-	changes := f.directory.Adopt(v.Entries, v.Revision)
+	if n.Searchers.Whole {
+		f.log.Info("news taken from another instance", "from", from, "revision", n.Revision, "age-ms", n.Age.Milliseconds())
+	}
+	changes := f.directory.Apply(n.Searchers, n.Revision)
 	f.listed.Store(true)
 	f.noteChanges(changes)
 	f.configure(c)
-	f.revision.Store(int64(v.Revision))
+	if len(n.Instances) > 0 {
+		f.noteInstances(n.Instances)
+	}
+	f.raiseRevision(n.Revision)
+	f.mu.Lock()
+	f.cursors[from] = n.Cursor
+	f.mu.Unlock()
 	return nil
 }
+
+// tell answers another daemon, as soon as there is news for it.
+func (f *Front) tell(ctx context.Context, since hysrelay.Cursor, wait time.Duration) hysrelay.News {
+	if since.Source != f.start {
+		since = hysrelay.Cursor{}
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-f.directory.Changed(since.Version):
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.news(since.Version)
+}
+
+// news is what this daemon has learned since a version.
+func (f *Front) news(since hysmember.Version) hysrelay.News {
+	if !f.listed.Load() {
+		return hysrelay.News{}
+	}
+	// The age is taken first: what comes meanwhile only makes it too high.
+	n := hysrelay.News{Age: f.store.age(), Revision: hysmember.Revision(f.revision.Load())}
+	n.Searchers = f.directory.Since(since)
+	n.Cursor = hysrelay.Cursor{Source: f.start, Version: n.Searchers.Version}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c := f.newest.Load(); c != nil && (n.Searchers.Whole || f.configurationChanged > since) {
+		n.Configuration, n.ConfigurationRevision = c.Raw, c.Revision
+	}
+	if n.Searchers.Whole || f.instancesChanged > since {
+		n.Instances = f.announced
+	}
+	return n
+}
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -51,7 +51,7 @@
 		{name: "callers", address: f.settings.CallerAddress, serve: f.callers.Serve, close: f.callers.close},
 		f.ownPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness)),
 		f.ownPort("metrics", metrics, f.metrics.Handler()),
-		f.ownPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.view)),
+		f.ownPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.tell)),
 	}
 }
 
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -19,6 +19,8 @@
 	defaultRetryShare = 0.1
 	defaultRetrySlack = 10
 	defaultMinLease   = time.Second
+	// defaultApplyWithin is the shortest bound that deployments are known to have.
+	defaultApplyWithin = 3 * time.Second
 )
 
 // Settings are what a frontend daemon is started with.
@@ -45,6 +47,8 @@
 	RetrySlack float64
 	// MinLease is the shortest lease of the store.
 	MinLease time.Duration
+	// ApplyWithin is how soon a change in the store must be in force.
+	ApplyWithin time.Duration
 }
 
 // Defaults fills in what was left out.
@@ -61,6 +65,9 @@
 	if s.MinLease == 0 {
 		s.MinLease = defaultMinLease
 	}
+	if s.ApplyWithin == 0 {
+		s.ApplyWithin = defaultApplyWithin
+	}
 }
 
 // Validate returns the first setting that can't be used.
@@ -79,7 +86,7 @@
 			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
 		}
 	}
-	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 {
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 || s.ApplyWithin < 0 {
 		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
 	}
 	return nil
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -77,11 +77,11 @@
 	Watch func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Changes, error)
 	// Decode decodes a configuration as it lies in the store.
 	Decode func([]byte) (Configured, error)
-	// Announce lists an instance and its address for other daemons for as long
-	// as its lease holds.
-	Announce func(context.Context, hysmember.InstanceID, hysmember.Address, time.Duration) (LeaseID, error)
+	// Announce lists an instance for other daemons for as long as its lease
+	// holds.
+	Announce func(context.Context, hysmember.Instance, time.Duration) (LeaseID, error)
 	// Renew keeps the lease of an announced instance.
 	Renew func(context.Context, LeaseID) error
-	// Instances returns the addresses of the announced instances.
-	Instances func(context.Context) ([]hysmember.Address, error)
+	// Instances returns the announced instances.
+	Instances func(context.Context) (hysmember.Instances, error)
 }
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -1,11 +1,13 @@
 // Package hysrelay hands what one frontend daemon has learned from the store to
-// others that the store does not serve.
+// others: to those that follow it instead of the store, and to those that the
+// store does not serve.
 //
 // # Usage
 //
-//	http.Serve(listener, hysrelay.NewHandler(view))
+//	http.Serve(listener, hysrelay.NewHandler(tell))
 //	c := hysrelay.NewClient()
-//	v, err := c.View(ctx, "10.1.0.4:7740", known)
+//	n, err := c.Follow(ctx, "10.1.0.4:7740", cursor, time.Second)
+//	cursor = n.Cursor
 package hysrelay
 
 import (
@@ -26,54 +28,54 @@
 // Timeouts of a call.
 const (
 	dialTimeout = 200 * time.Millisecond
+	// callTimeout is how much longer than its wait a call may take.
 	callTimeout = 400 * time.Millisecond
 	idleTimeout = 10 * time.Second
+	// maxWait bounds how long a daemon waits for news.
+	maxWait = 2 * time.Second
 )
 
-// View is what a daemon has learned from the store.
-type View struct {
-	// Revision is that of the store; 0 stands for no view.
+// Cursor tells up to where the news of a daemon have been taken over.
+type Cursor struct {
+	// Source tells the starts of the daemon apart.
+	Source  string
+	Version hysmember.Version
+}
+
+// News is what a daemon has learned from the store since a cursor.
+type News struct {
+	Cursor Cursor
+	// Revision is that of the store; 0 stands for a daemon that knows nothing.
 	Revision hysmember.Revision
 	// Age is how long ago the store last served the daemon.
 	Age time.Duration
-	// Configuration is as it lies in the store.
+	// Configuration is as it lies in the store; empty if it has not changed.
 	Configuration         []byte
 	ConfigurationRevision hysmember.Revision
-	Entries               hysmember.Entries
+	Searchers             hysmember.Delta
+	// Instances are all daemons; empty if they have not changed.
+	Instances hysmember.Instances
 }
 
-// ViewFunc returns the view of this daemon.
-type ViewFunc func() View
+// TellFunc waits for news since a cursor, and returns what there is in the end.
+type TellFunc func(ctx context.Context, since Cursor, wait time.Duration) News
 
 type server struct {
-	view ViewFunc
+	tell TellFunc
 }
 
-// NewHandler serves the view of this daemon.
-func NewHandler(view ViewFunc) http.Handler {
+// NewHandler serves what this daemon has learned.
+func NewHandler(tell TellFunc) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(frontconnect.NewFrontServiceHandler(&server{view: view}))
+	mux.Handle(frontconnect.NewFrontServiceHandler(&server{tell: tell}))
 	return mux
 }
 
-// View answers a daemon that the store does not serve.
-func (s *server) View(_ context.Context, r *connect.Request[front.ViewRequest]) (*connect.Response[front.ViewReply], error) {
-	v := s.view()
-	if int64(v.Revision) <= r.Msg.KnownRevision {
-		return connect.NewResponse(&front.ViewReply{AgeMs: v.Age.Milliseconds()}), nil
-	}
-	reply := &front.ViewReply{
-		Revision: int64(v.Revision), AgeMs: v.Age.Milliseconds(),
-		Configuration: v.Configuration, ConfigurationRevision: int64(v.ConfigurationRevision),
-	}
-	for _, e := range v.Entries {
-		reply.Searchers = append(reply.Searchers, &front.Searcher{
-			Id: string(e.Searcher.ID), Service: string(e.Searcher.Service), Address: string(e.Searcher.Address),
-			Zone: string(e.Searcher.Zone), Leaving: e.Searcher.Leaving, Slots: int32(e.Slots),
-			Born: e.Born, Sequence: e.Sequence, Revision: int64(e.Revision),
-		})
-	}
-	return connect.NewResponse(reply), nil
+// Follow answers another daemon.
+func (s *server) Follow(ctx context.Context, r *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error) {
+	since := Cursor{Source: r.Msg.Source, Version: hysmember.Version(r.Msg.Version)}
+	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait)
+	return connect.NewResponse(encode(s.tell(ctx, since, wait))), nil
 }
 
 // Client asks other daemons. It is safe for concurrent use.
@@ -87,26 +89,58 @@
 	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleTimeout}}}
 }
 
-// View asks a daemon for its view. Its revision is 0 if it is not newer than
-// the one that is known.
-func (c *Client) View(ctx context.Context, address hysmember.Address, known hysmember.Revision) (View, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// Follow asks a daemon for its news since a cursor, and waits for some.
+func (c *Client) Follow(ctx context.Context, address hysmember.Address, since Cursor, wait time.Duration) (News, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
-	r, err := service.View(ctx, connect.NewRequest(&front.ViewRequest{KnownRevision: int64(known)}))
+	r, err := service.Follow(ctx, connect.NewRequest(&front.FollowRequest{
+		Source: since.Source, Version: uint64(since.Version), WaitMs: wait.Milliseconds(),
+	}))
 	if err != nil {
-		return View{}, fmt.Errorf("Client.View: %s: %w", address, err)
+		return News{}, fmt.Errorf("Client.Follow: %s: %w", address, err)
 	}
 	return decode(r.Msg), nil
 }
 
-func decode(r *front.ViewReply) View {
-	v := View{
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func encode(n News) *front.FollowReply {
+	r := &front.FollowReply{
+		Source: n.Cursor.Source, Version: uint64(n.Cursor.Version),
+		Revision: int64(n.Revision), AgeMs: n.Age.Milliseconds(),
+		Configuration: n.Configuration, ConfigurationRevision: int64(n.ConfigurationRevision),
+		Whole: n.Searchers.Whole,
+	}
+	for _, e := range n.Searchers.Entries {
+		r.Searchers = append(r.Searchers, &front.Searcher{
+			Id: string(e.Searcher.ID), Service: string(e.Searcher.Service), Address: string(e.Searcher.Address),
+			Zone: string(e.Searcher.Zone), Leaving: e.Searcher.Leaving, Slots: int32(e.Slots),
+			Born: e.Born, Sequence: e.Sequence, Revision: int64(e.Revision),
+		})
+	}
+	for _, g := range n.Searchers.Gone {
+		r.Gone = append(r.Gone, &front.Gone{Id: string(g.ID), Revision: int64(g.Revision)})
+	}
+	for _, i := range n.Instances {
+		r.Instances = append(r.Instances, &front.Instance{
+			Id: string(i.ID), Address: string(i.Address), Zone: string(i.Zone), Region: string(i.Region),
+		})
+	}
+	return r
+}
+
+func decode(r *front.FollowReply) News {
+	version := hysmember.Version(r.Version)
+	n := News{
+		Cursor:   Cursor{Source: r.Source, Version: version},
 		Revision: hysmember.Revision(r.Revision), Age: time.Duration(r.AgeMs) * time.Millisecond,
 		Configuration: r.Configuration, ConfigurationRevision: hysmember.Revision(r.ConfigurationRevision),
+		Searchers: hysmember.Delta{Version: version, Whole: r.Whole},
 	}
 	for _, s := range r.Searchers {
-		v.Entries = append(v.Entries, hysmember.Entry{
+		n.Searchers.Entries = append(n.Searchers.Entries, hysmember.Entry{
 			Searcher: hysmember.Searcher{
 				ID: hysmember.SearcherID(s.Id), Service: hysservice.Name(s.Service), Address: hysmember.Address(s.Address),
 				Zone: hysmember.Zone(s.Zone), Leaving: s.Leaving,
@@ -114,8 +148,14 @@
 			Slots: int(s.Slots), Born: s.Born, Sequence: s.Sequence, Revision: hysmember.Revision(s.Revision),
 		})
 	}
-	return v
+	for _, g := range r.Gone {
+		n.Searchers.Gone = append(n.Searchers.Gone, hysmember.Gone{ID: hysmember.SearcherID(g.Id), Revision: hysmember.Revision(g.Revision)})
+	}
+	for _, i := range r.Instances {
+		n.Instances = append(n.Instances, hysmember.Instance{
+			ID: hysmember.InstanceID(i.Id), Address: hysmember.Address(i.Address),
+			Zone: hysmember.Zone(i.Zone), Region: hysmember.Region(i.Region),
+		})
+	}
+	return n
 }
-
-// Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/io/hysrelay/relay_test.go
@@ -0,0 +1,83 @@
+package hysrelay_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hyssuite"
+	"hyssopshore/io/hysrelay"
+)
+
+func TestRelay(t *testing.T) {
+	hyssuite.Run(t, "Relay")
+}
+
+// serve serves news, and returns the address.
+func serve(tell hysrelay.TellFunc) hysmember.Address {
+	server := httptest.NewServer(hysrelay.NewHandler(tell))
+	DeferCleanup(server.Close)
+	return hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+var _ = Describe("the news of a daemon", func() {
+	var client *hysrelay.Client
+
+	BeforeEach(func() {
+		client = hysrelay.NewClient()
+		DeferCleanup(client.Close)
+	})
+
+	It("arrive as they were told, with what the caller knows", func(ctx SpecContext) {
+		told := hysrelay.News{
+			Cursor: hysrelay.Cursor{Source: "start-2", Version: 9}, Revision: 70, Age: 30 * time.Millisecond,
+			Configuration: []byte("raw"), ConfigurationRevision: 60,
+			Searchers: hysmember.Delta{Version: 9, Whole: true,
+				Entries: hysmember.Entries{{
+					Searcher: hysmember.Searcher{ID: "s-1", Service: "roll", Address: "10.0.0.1:80", Zone: "z", Leaving: true},
+					Slots:    3, Born: 4, Sequence: 5, Revision: 6,
+				}},
+				Gone: []hysmember.Gone{{ID: "s-2", Revision: 8}},
+			},
+			Instances: hysmember.Instances{{ID: "i-1", Address: "10.0.0.2:90", Zone: "z", Region: "r"}},
+		}
+		var since hysrelay.Cursor
+		address := serve(func(_ context.Context, s hysrelay.Cursor, wait time.Duration) hysrelay.News {
+			since = s
+			Expect(wait).To(Equal(40 * time.Millisecond))
+			return told
+		})
+		n, err := client.Follow(ctx, address, hysrelay.Cursor{Source: "start-1", Version: 3}, 40*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(told))
+		Expect(since).To(Equal(hysrelay.Cursor{Source: "start-1", Version: 3}))
+	})
+
+	It("are not waited for longer than a bound of the daemon that tells", func(ctx SpecContext) {
+		var waited time.Duration
+		address := serve(func(_ context.Context, _ hysrelay.Cursor, wait time.Duration) hysrelay.News {
+			waited = wait
+			return hysrelay.News{}
+		})
+		_, err := client.Follow(ctx, address, hysrelay.Cursor{}, time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(waited).To(BeNumerically("<", time.Minute))
+	})
+
+	It("are given up soon after the wait if the daemon hangs", func(ctx SpecContext) {
+		address := serve(func(ctx context.Context, _ hysrelay.Cursor, _ time.Duration) hysrelay.News {
+			<-ctx.Done()
+			return hysrelay.News{}
+		})
+		began := time.Now()
+		_, err := client.Follow(ctx, address, hysrelay.Cursor{}, 100*time.Millisecond)
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	})
+})
