--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -102,11 +102,18 @@
 	return tried
 }
 
-// otherReplica reports whether a replica is left that has not been tried.
+// backoffPart is the part of the time left in which the backoff of a replica
+// must end for a sub-request to wait for it.
+const backoffPart = 0.5
+
+// otherReplica reports whether a replica is left that has not been tried, and
+// that serves now or soon: when many connections are reset at once, all replicas
+// of a shard may rest for some milliseconds.
 func (c *call) otherReplica(s *shard) bool {
-	tried := c.tried()
+	tried, now := c.tried(), c.table.now()
+	soon := now.Add(time.Duration(backoffPart * float64(c.sub.allowance(now))))
 	return slices.ContainsFunc(s.replicas, func(r *replica) bool {
-		return !slices.Contains(tried, r) && r.state() == stateServing
+		return !slices.Contains(tried, r) && r.servesBy(soon)
 	})
 }
 
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -132,6 +132,18 @@
 	r.backoff, r.pause, r.retryAt = 0, 0, time.Time{}
 }
 
+// servesBy reports whether the replica serves, or may be tried again by a time.
+func (r *replica) servesBy(t time.Time) bool {
+	switch r.state() {
+	case stateServing:
+		return true
+	case stateBackoff:
+		return !r.retryAt.After(t)
+	default:
+		return false
+	}
+}
+
 // free reports whether the replica may get a sub-request now.
 func (r *replica) free(now time.Time) bool {
 	switch r.state() {
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -41,6 +41,9 @@
 	// say how long it keeps it.
 	defaultIdleTime   = 30 * time.Second
 	defaultConnectCap = 8
+	// resetSpan is how long a searcher is taken to be at its limit of
+	// connections after it has ended a new one.
+	resetSpan = 10 * time.Second
 )
 
 // Headers are the names of the header fields between the system and searchers.
@@ -78,7 +81,10 @@
 	// keeps is how long the searcher keeps an idle connection, as it last said.
 	keeps time.Duration
 	// warmAt is when a connection may be opened ahead of requests again.
-	warmAt time.Time
+	warmAt    time.Time
+	warmPause time.Duration
+	// resetAt is when a new connection last ended before its first response.
+	resetAt time.Time
 }
 
 // Option changes a Client.
@@ -119,6 +125,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", s.ID, ErrConnectionCap)
 	}
 	conn, err := dial(ctx, s.Address)
+	if err == nil && c.resetsNew(keyOf(s)) {
+		err = conn.settle(ctx)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(keyOf(s))
@@ -131,6 +140,21 @@
 	return conn, nil
 }
 
+// noteReset notes that a new connection has ended before its first response.
+func (c *Client) noteReset(key poolKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pool(key).resetAt = time.Now()
+}
+
+// resetsNew reports whether a searcher has ended a new connection lately. It is
+// likely at its limit of connections.
+func (c *Client) resetsNew(key poolKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.pool(key).resetAt) < resetSpan
+}
+
 // Connected reports whether there is a connection to a searcher, so that a
 // request need not wait for one.
 func (c *Client) Connected(s hysmember.Searcher) bool {
@@ -153,6 +177,7 @@
 		conn := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if conn.usable(time.Now()) {
+			conn.ahead = false
 			return conn
 		}
 		_ = conn.Close()
@@ -189,7 +214,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(key)
-	p.keeps = conn.keeps
+	p.keeps, p.warmPause = conn.keeps, 0
 	p.idle = append(p.idle, conn)
 }
 
--- a/io/hysforward/connection.go
+++ b/io/hysforward/connection.go
@@ -26,6 +26,10 @@
 	ErrNothingRead = errors.ConstError("the connection ended before the response")
 )
 
+// ErrEndedAtOnce means that the searcher ended a new connection before anything
+// was sent.
+const ErrEndedAtOnce = errors.ConstError("the searcher ended the new connection at once")
+
 // Limits of a response.
 const (
 	maxResponse = 8 << 20
@@ -47,7 +51,9 @@
 	reader *bufio.Reader
 	// kept is set once the connection has been idle: the searcher may have
 	// closed it.
-	kept    bool
+	kept bool
+	// ahead is set while a connection that was opened ahead is not yet used.
+	ahead   bool
 	expires time.Time
 	// keeps is how long the searcher keeps it idle.
 	keeps time.Duration
@@ -62,6 +68,26 @@
 	return &connection{Conn: c, reader: bufio.NewReader(c)}
 }
 
+// settleTime is how long a searcher at its limit takes to end a connection that
+// it has just accepted.
+const settleTime = 2 * time.Millisecond
+
+// settle waits until a searcher that is at its limit would have ended the new
+// connection: what has not been sent has not run, and may go elsewhere.
+func (c *connection) settle(ctx context.Context) error {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if hysconn.Quiet(c.Conn) {
+		return nil
+	}
+	_ = c.Close()
+	return ErrEndedAtOnce
+}
+
 // outgoing is a request as it is written to a connection.
 type outgoing struct {
 	request *hysmessage.Request
--- a/io/hysforward/send.go
+++ b/io/hysforward/send.go
@@ -26,10 +26,15 @@
 	}
 	reused := conn.kept
 	result, err := c.exchange(ctx, s, conn, sub)
-	if reused && result.Fault == hysdispatch.FaultLost && errors.Is(err, ErrNothingRead) {
+	if result.Fault != hysdispatch.FaultLost || !errors.Is(err, ErrNothingRead) {
+		return result
+	}
+	if reused {
 		// The searcher may have closed an idle connection.
 		result.Fault = hysdispatch.FaultSilent
+		return result
 	}
+	c.noteReset(keyOf(s))
 	return result
 }
 
--- a/io/hysforward/warm.go
+++ b/io/hysforward/warm.go
@@ -16,9 +16,11 @@
 	// unusedIdleTime is how long a connection is kept before a searcher has
 	// ever said how long it keeps one.
 	unusedIdleTime = 5 * time.Second
-	// warmPause is the time until a searcher that could not be reached is tried
-	// again.
-	warmPause = 3 * time.Second
+	// minWarmPause and maxWarmPause bound the time until a searcher that could
+	// not be reached, or has closed such a connection unused, is tried again. It
+	// resets connections over its limit, and each one holds a slot for a moment.
+	minWarmPause = 2 * time.Second
+	maxWarmPause = 16 * time.Second
 )
 
 // Warm opens a connection to each searcher that has none, so that its next
@@ -57,10 +59,10 @@
 	defer c.mu.Unlock()
 	p := c.pool(keyOf(s))
 	if err != nil {
-		p.warmAt = time.Now().Add(warmPause)
+		p.failedToWarm(time.Now())
 		return fmt.Errorf("warm: %w", err)
 	}
-	conn.kept = true
+	conn.kept, conn.ahead = true, true
 	p.idle = append(p.idle, conn)
 	return nil
 }
@@ -84,6 +86,9 @@
 			usable = append(usable, conn)
 			continue
 		}
+		if conn.ahead && now.Before(conn.expires) {
+			p.failedToWarm(now)
+		}
 		_ = conn.Close()
 		p.open--
 	}
@@ -91,6 +96,12 @@
 	p.idle = usable
 }
 
+// failedToWarm puts the next connection ahead of requests off.
+func (p *pool) failedToWarm(now time.Time) {
+	p.warmPause = min(max(2*p.warmPause, minWarmPause), maxWarmPause)
+	p.warmAt = now.Add(p.warmPause)
+}
+
 // idleTime is how long the searcher keeps a connection, as it last said.
 func (p *pool) idleTime() time.Duration {
 	if p.keeps > 0 {
--- a/io/hysforward/warm_test.go
+++ b/io/hysforward/warm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,23 @@
 	"hyssopshore/io/hysforward"
 )
 
+// full is a searcher at its limit: it ends each new connection at once.
+func full() hysmember.Searcher {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	return hysmember.Searcher{ID: "s-1", Address: hysmember.Address(listener.Addr().String())}
+}
+
 var _ = Describe("connections that are opened ahead", func() {
 	whole := responseCase{Send: "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Sig: s\r\nContent-Length: 0\r\n\r\n"}
 	ctx := context.Background()
@@ -56,6 +74,16 @@
 		Expect(client.Send(ctx, s.searcher(), request(0)).Fault).To(Equal(hysdispatch.FaultSilent))
 	})
 
+	It("are not opened again at once at a searcher that resets them", func() {
+		s := full()
+		opened, _ := client.Warm(ctx, hysmember.Searchers{s})
+		Expect(opened).To(Equal(1))
+		time.Sleep(20 * time.Millisecond)
+		opened, _ = client.Warm(ctx, hysmember.Searchers{s})
+		Expect(opened).To(BeZero())
+		Expect(client.Connected(s)).To(BeFalse())
+	})
+
 	It("are not tried again at once at a searcher that refuses them", func() {
 		s := serve(whole)
 		s.listener.Close()
@@ -74,3 +102,18 @@
 		Expect(failures[s.searcher().ID]).To(MatchError(hysforward.ErrConnectionCap))
 	})
 })
+
+var _ = Describe("a searcher at its limit of connections", func() {
+	It("gets no request once it has ended a new connection", func() {
+		client := hysforward.New(headers)
+		defer client.Close()
+		s := full()
+		first := client.Send(context.Background(), s, request(0))
+		Expect(first.NotSent).To(BeFalse(), "the request may have arrived")
+		for range 5 {
+			next := client.Send(context.Background(), s, request(0))
+			Expect(next.Fault).To(Equal(hysdispatch.FaultRefused))
+			Expect(next.NotSent).To(BeTrue(), next.Reason)
+		}
+	})
+})
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -47,7 +47,7 @@
 		f.assigned[service] = true
 		f.dispatcher.SetReplicas(service, replicas, 1)
 	}
-	f.standby = f.chooseStandby(byService)
+	f.warm = f.chooseWarm(byService)
 	f.forward.Retain(func(id hysmember.SearcherID, address hysmember.Address) bool {
 		return listed[id] == address
 	})
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -93,8 +93,8 @@
 	mu sync.Mutex
 	// assigned are the services that the dispatcher has searchers of.
 	assigned map[hysservice.Name]bool
-	// standby are the searchers to which connections are kept.
-	standby hysmember.Searchers
+	// warm are the searchers to which a connection is kept.
+	warm hysmember.Searchers
 	// announced are all daemons, as last read.
 	announced hysmember.Instances
 	// instancesChanged and configurationChanged are the versions of the
