Refuse requests that crash searchers, at all frontend daemons

Cause: the gate that keeps one request from crashing many searchers stood in front of the own interface only; max-attempts bounds one attempt, and a request that is sent again went on crashing searchers. Change: hysquarantine.Watch stands beside the sends. A request that was lost at a searcher which then turns out to have crashed (nothing listens, or the list has dropped or renewed it) is blamed; after three crashes without any answer it is refused as not run, with the time of its end as Retry-After. One answer clears it, also at the others. Records merge in any order; they lie in the store under a lease, come with the watch and with the list of daemons, and readers tell their followers. Not reached: a query over shards takes down a searcher of each shard before the first crash is known.

--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -289,6 +289,13 @@
 	return changes
 }
 
+// Born returns the start of a searcher as last known, 0 if it is not listed.
+func (d *Directory) Born(id SearcherID) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[id].Born
+}
+
 // Entries returns what is known, in the order of the ids.
 func (d *Directory) Entries() Entries {
 	d.mu.Lock()
--- a/core/hysmessage/message.go
+++ b/core/hysmessage/message.go
@@ -8,9 +8,12 @@
 package hysmessage
 
 import (
+	"encoding/hex"
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is a caller's request.
@@ -24,6 +27,18 @@
 	Body   []byte
 }
 
+// Fingerprint is the same for all requests that ask the same, whoever sends them
+// and however often.
+func (r *Request) Fingerprint() string {
+	d := xxhash.New()
+	for _, part := range []string{r.Method, r.Host, r.Target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return hex.EncodeToString(d.Sum(nil))
+}
+
 // Response is a searcher's response, read to its end.
 type Response struct {
 	Status int
--- a/core/hysquarantine/registry.go
+++ b/core/hysquarantine/registry.go
@@ -13,6 +13,9 @@
 // there. So a request that crashes searchers takes two of them down, and one
 // that only shared the slots of a crashed searcher is cleared by its next run.
 //
+// A Watch stands beside the sends and holds none back, for daemons that pass
+// callers' requests on as they are.
+//
 // # Usage
 //
 //	r := hysquarantine.NewRegistry(time.Now)
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -57,6 +57,9 @@
 	NotRun string
 }
 
+// DownFunc is told of a searcher whose address nothing listens on any more.
+type DownFunc func(hysmember.Searcher)
+
 // CapFunc returns how many connections may be open to a searcher.
 type CapFunc func(hysmember.Searcher) int
 
@@ -64,6 +67,7 @@
 type Client struct {
 	headers Headers
 	cap     CapFunc
+	down    DownFunc
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
@@ -95,11 +99,17 @@
 	return func(c *Client) { c.cap = limit }
 }
 
+// WithDown tells of searchers that refuse connections.
+func WithDown(down DownFunc) Option {
+	return func(c *Client) { c.down = down }
+}
+
 // New returns a client without connections.
 func New(headers Headers, options ...Option) *Client {
 	c := &Client{
 		headers: headers, pools: make(map[poolKey]*pool),
-		cap: func(hysmember.Searcher) int { return defaultConnectCap },
+		cap:  func(hysmember.Searcher) int { return defaultConnectCap },
+		down: func(hysmember.Searcher) {},
 	}
 	for _, o := range options {
 		o(c)
@@ -125,6 +135,9 @@
 		return nil, fmt.Errorf("connect to %s: %w", s.ID, ErrConnectionCap)
 	}
 	conn, err := dial(ctx, s.Address)
+	if errors.Is(err, unix.ECONNREFUSED) {
+		c.down(s)
+	}
 	if err == nil && c.resetsNew(keyOf(s)) {
 		err = conn.settle(ctx)
 	}
--- a/io/hysforward/warm_test.go
+++ b/io/hysforward/warm_test.go
@@ -94,6 +94,17 @@
 		Expect(failures).To(BeEmpty())
 	})
 
+	It("tell of a searcher that is down", func() {
+		s := serve(whole)
+		s.listener.Close()
+		var down []hysmember.SearcherID
+		telling := hysforward.New(headers, hysforward.WithDown(func(s hysmember.Searcher) { down = append(down, s.ID) }))
+		telling.Send(ctx, s.searcher(), request(0))
+		Expect(down).To(Equal([]hysmember.SearcherID{s.searcher().ID}))
+		telling.Send(ctx, full(), request(0))
+		Expect(down).To(HaveLen(1), "one that resets connections is up")
+	})
+
 	It("keep within the cap", func() {
 		s := serve(whole)
 		defer s.listener.Close()
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -21,25 +21,28 @@
 // reader tells them.
 func (f *Front) announce(ctx context.Context) {
 	lease := f.keepAnnounced(ctx, 0)
-	f.readInstances(ctx)
+	f.readShared(ctx)
 	sleep(ctx, startSpan)
 	for ctx.Err() == nil {
 		if !f.following.Load() {
-			f.readInstances(ctx)
+			f.readShared(ctx)
 		}
 		sleep(ctx, renewInterval)
 		lease = f.keepAnnounced(ctx, lease)
 	}
 }
 
-// readInstances reads the other daemons from the store.
-func (f *Front) readInstances(ctx context.Context) {
-	instances, err := f.source.Instances(ctx)
-	if err != nil || len(instances) == 0 {
+// readShared reads what the other daemons have written to the store.
+func (f *Front) readShared(ctx context.Context) {
+	shared, err := f.source.Shared(ctx)
+	if err != nil {
 		// The last list holds; the store's state is logged by the readers.
 		return
 	}
-	f.noteInstances(instances)
+	f.mergeSuspects(shared.Suspects)
+	if len(shared.Instances) > 0 {
+		f.noteInstances(shared.Instances)
+	}
 }
 
 // noteInstances adjusts this daemon's share to the number of daemons.
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -277,6 +277,7 @@
 		}
 	}
 	f.noteChanges(changes)
+	f.mergeSuspects(c.Suspects)
 	return f.configure(c.Configured) || len(changes) > 0
 }
 
@@ -295,6 +296,9 @@
 		return
 	}
 	for _, c := range changes {
+		if c.Kind == hysmember.ChangeGone || c.Kind == hysmember.ChangeRestarted {
+			f.searcherDown(c.ID)
+		}
 		f.log.Info("searcher "+c.Kind.String(), "searcher", c.ID, "service", c.Service, "revision", c.Revision)
 	}
 	f.assign()
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -26,6 +26,7 @@
 	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysroute"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysforward"
@@ -63,7 +64,10 @@
 	dispatcher   *hysdispatch.Dispatcher
 	ingress      *hysingress.Ingress
 	callers      *callers
-	state        atomic.Pointer[hysroute.Configuration]
+	watch        *hysquarantine.Watch
+	// accusations are the records that are to be written to the store.
+	accusations chan hysquarantine.Record
+	state       atomic.Pointer[hysroute.Configuration]
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	// listed is set once the list of searchers has been read.
@@ -95,6 +99,9 @@
 	assigned map[hysservice.Name]bool
 	// warm are the searchers to which a connection is kept.
 	warm hysmember.Searchers
+	// suspectsChanged is the version of the directory at which a record of a
+	// request that crashes searchers last changed.
+	suspectsChanged hysmember.Version
 	// announced are all daemons, as last read.
 	announced hysmember.Instances
 	// instancesChanged and configurationChanged are the versions of the
@@ -125,6 +132,9 @@
 		assigned: make(map[hysservice.Name]bool),
 		cursors:  make(map[hysmember.InstanceID]hysrelay.Cursor),
 		start:    uuid.NewString(),
+		watch:    hysquarantine.NewWatch(time.Now),
+
+		accusations: make(chan hysquarantine.Record, accuseQueue),
 
 		droppedLines: func() int64 { return 0 },
 	}
@@ -132,14 +142,15 @@
 	f.forward = hysforward.New(hysforward.Headers{
 		RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
 		Searcher: headers.Searcher, NotRun: headers.NotRun,
-	}, hysforward.WithConnectionCap(f.connectionCap))
+	}, hysforward.WithConnectionCap(f.connectionCap),
+		hysforward.WithDown(func(s hysmember.Searcher) { f.searcherDown(s.ID) }))
 	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: hedgePercent, Unknown: unknownDelay, Reserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime),
 		hysdispatch.WithConnections(f.forward.Connected))
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
-		Observe: f.observe, Closing: f.turnsAway,
+		Suspect: f.suspect, Observe: f.observe, Closing: f.turnsAway,
 	}
 	f.callers = newCallers(f.ingress, f.log)
 	for _, o := range options {
@@ -205,6 +216,7 @@
 	wait.Go(func() { f.dispatcher.Run(ctx) })
 	wait.Go(func() { f.measure(ctx) })
 	wait.Go(func() { f.keepWarm(ctx) })
+	wait.Go(func() { f.shareEvidence(ctx) })
 	return &wait
 }
 
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysroute"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/internal/hyssuite"
@@ -47,6 +48,8 @@
 	changes  []hysfront.Changes
 	peers    hysmember.Instances
 	limits   hysroute.Limits
+	// accused are the records that were written.
+	accused hysquarantine.Records
 	// shards are asked by a query, if there are any.
 	shards []hysservice.Name
 }
@@ -111,10 +114,16 @@
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
-		Instances: func(context.Context) (hysmember.Instances, error) {
+		Shared: func(context.Context) (hysfront.Shared, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return s.peers, nil
+			return hysfront.Shared{Instances: s.peers}, nil
+		},
+		Accuse: func(_ context.Context, _ hysmember.InstanceID, r hysquarantine.Record) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.accused = append(s.accused, r)
+			return nil
 		},
 	}
 }
@@ -149,8 +158,9 @@
 // droppedLines is what the log of each daemon says to have lost.
 const droppedLines = 7
 
-// start starts a daemon; each has an IP number of its own.
-func start(s *store, ip string) *daemon {
+// newDaemon returns a daemon that is not yet started; each has an IP number of
+// its own.
+func newDaemon(ip string) *daemon {
 	d := &daemon{stopped: make(chan error, 1), log: &lines{}, settings: hysfront.Settings{
 		Instance: hysmember.InstanceID("entry-" + ip), Zone: "z", Region: "r", Address: ip,
 		CallerAddress: hystest.FreeAddress(ip), ReadinessAddress: hystest.FreeAddress(ip), PeerAddress: hystest.FreeAddress(ip),
@@ -158,6 +168,11 @@
 	}}
 	d.settings.Defaults()
 	Expect(d.settings.Validate()).To(Succeed())
+	return d
+}
+
+// start starts a daemon that follows a store.
+func (d *daemon) start(s *store) {
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	front := hysfront.New(d.settings, s.source(), headers, slog.New(slog.NewJSONHandler(d.log, nil)),
@@ -167,6 +182,11 @@
 		stop()
 		Eventually(d.stopped, "10s").Should(Receive(BeNil()))
 	})
+}
+
+func start(s *store, ip string) *daemon {
+	d := newDaemon(ip)
+	d.start(s)
 	return d
 }
 
@@ -201,8 +221,10 @@
 	return response.StatusCode, string(body)
 }
 
-func (d *daemon) ask() (int, string) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+string(d.settings.CallerAddress)+"/7", nil)
+func (d *daemon) ask() (int, string) { return d.askFor("/7") }
+
+func (d *daemon) askFor(path string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, "http://"+string(d.settings.CallerAddress)+path, nil)
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "rota.example"
 	r.Header.Set("X-Id", "r-1")
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -65,8 +65,15 @@
 // send sends a sub-request, and counts and logs what a searcher has not
 // answered.
 func (f *Front) send(ctx context.Context, s hysmember.Searcher, sub hysdispatch.SubRequest) hysdispatch.Result {
+	if until, refused := f.suspect(sub.Fingerprint); refused {
+		return hysdispatch.Result{
+			Fault: hysdispatch.FaultQuarantined, NotSent: true, RetryAfter: time.Until(until),
+			Reason: "the request crashed searchers and is quarantined",
+		}
+	}
 	started := time.Now()
 	result := f.forward.Send(ctx, s, sub)
+	f.judge(s, sub, result)
 	f.metrics.ObserveSend(string(sub.Service), result.Fault.String(), time.Since(started))
 	if result.Fault != hysdispatch.FaultNone {
 		f.log.Info("send "+result.Fault.String(), "id", sub.RequestID, "service", sub.Service, "searcher", s.ID,
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -28,17 +28,16 @@
 	// the store of its own.
 	startBoth := func(one, other string) {
 		entries = hysmember.Entries{searcher("s-1", 0)}
-		readerStore = &store{version: 1, revision: 5, entries: entries}
-		followerStore = &store{version: 1, revision: 5, entries: entries}
-		reader, follower = start(readerStore, one), start(followerStore, other)
+		reader, follower = newDaemon(one), newDaemon(other)
 		all := hysmember.Instances{reader.instance(), follower.instance()}
 		if _, ok := all.Reader(reader.settings.Instance); ok {
 			reader, follower = follower, reader
-			readerStore, followerStore = followerStore, readerStore
-		}
-		for _, s := range []*store{readerStore, followerStore} {
-			s.set(func() { s.peers = all })
 		}
+		readerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
+		followerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
+		reader.start(readerStore)
+		Eventually(reader.ready, "3s").Should(Equal(http.StatusOK))
+		follower.start(followerStore)
 		Eventually(follower.log.String, "4s").Should(ContainSubstring("reader followed"))
 	}
 
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -121,6 +121,7 @@
 	if len(n.Instances) > 0 {
 		f.noteInstances(n.Instances)
 	}
+	f.mergeSuspects(n.Suspects)
 	f.raiseRevision(n.Revision)
 	f.mu.Lock()
 	f.cursors[from] = n.Cursor
@@ -160,5 +161,8 @@
 	if n.Searchers.Whole || f.instancesChanged > since {
 		n.Instances = f.announced
 	}
+	if n.Searchers.Whole || f.suspectsChanged > since {
+		n.Suspects = f.watch.Records()
+	}
 	return n
 }
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysroute"
 )
 
@@ -59,12 +60,22 @@
 type Changes struct {
 	Configured Configured
 	Updates    []Update
+	// Suspects are records of requests that crash searchers.
+	Suspects hysquarantine.Records
 	// Revision is where the next watch goes on.
 	Revision hysmember.Revision
 	// Events counts the changes of all keys, of whatever kind.
 	Events int
 }
 
+// Shared is what the daemons have written to the store for each other.
+type Shared struct {
+	// Instances are those that are announced.
+	Instances hysmember.Instances
+	// Suspects are records of requests that crash searchers.
+	Suspects hysquarantine.Records
+}
+
 // LeaseID identifies a lease of the store.
 type LeaseID int64
 
@@ -82,6 +93,8 @@
 	Announce func(context.Context, hysmember.Instance, time.Duration) (LeaseID, error)
 	// Renew keeps the lease of an announced instance.
 	Renew func(context.Context, LeaseID) error
-	// Instances returns the announced instances.
-	Instances func(context.Context) (hysmember.Instances, error)
+	// Shared returns what the daemons have written for each other.
+	Shared func(context.Context) (Shared, error)
+	// Accuse writes what an instance knows of a request that crashes searchers.
+	Accuse func(context.Context, hysmember.InstanceID, hysquarantine.Record) error
 }
--- /dev/null
+++ b/io/hysfront/suspect_test.go
@@ -0,0 +1,97 @@
+package hysfront_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquarantine"
+	"hyssopshore/io/hysfront"
+)
+
+// fragile starts a searcher that ends, with all its connections, when it gets a
+// request to /poison, and tells that.
+func fragile(id hysmember.SearcherID, crashes chan<- hysmember.SearcherID) hysmember.Entry {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/poison" {
+			crashes <- id
+			go server.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Sig", "s")
+	})
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() { _ = server.Close() })
+	return hysmember.Entry{Slots: 2, Revision: 1, Born: 7, Searcher: hysmember.Searcher{
+		ID: id, Service: "roll", Address: hysmember.Address(listener.Addr().String()), Zone: "z",
+	}}
+}
+
+var _ = Describe("a request that crashes each searcher that runs it", func() {
+	const searchers, limit = 8, 3
+	var crashes chan hysmember.SearcherID
+	var s *store
+
+	BeforeEach(func() {
+		crashes = make(chan hysmember.SearcherID, searchers)
+		s = &store{version: 1, revision: 5}
+		for i := range searchers {
+			s.entries = append(s.entries, fragile(hysmember.SearcherID(fmt.Sprint("s-", i)), crashes))
+		}
+	})
+
+	// blamed is how many crashes the daemon has told the store of.
+	blamed := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		most := 0
+		for _, r := range s.accused {
+			most = max(most, len(r.Counted()))
+		}
+		return most
+	}
+
+	It("is refused after the third crash, at the other daemons too", func() {
+		d := start(s, "127.0.0.20")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		for i := range limit {
+			status, _ := d.askFor("/poison")
+			Expect(status).To(Equal(http.StatusBadGateway), "try %d", i)
+			var crashed hysmember.SearcherID
+			Expect(crashes).To(Receive(&crashed))
+			revision := hysmember.Revision(10 + i)
+			s.set(func() {
+				s.changes = []hysfront.Changes{{Revision: revision, Events: 1, Updates: []hysfront.Update{{ID: crashed, Removed: true, Revision: revision}}}}
+			})
+			Eventually(blamed, "4s").Should(Equal(i + 1))
+		}
+		status, body := d.askFor("/poison")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(body).To(ContainSubstring("quarantined"))
+		Expect(crashes).To(BeEmpty())
+		status, _ = d.ask()
+		Expect(status).To(Equal(http.StatusOK), "other requests are served")
+
+		var told hysquarantine.Records
+		s.set(func() { told = s.accused })
+		other := &store{version: 1, revision: 5, entries: s.entries}
+		second := start(other, "127.0.0.21")
+		Eventually(second.ready, "2s").Should(Equal(http.StatusOK))
+		other.set(func() { other.changes = []hysfront.Changes{{Suspects: told, Revision: 9, Events: 1}} })
+		Eventually(second.log.String, 2*time.Second).Should(ContainSubstring("evidence learned"))
+		status, _ = second.askFor("/poison")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(crashes).To(BeEmpty())
+		Expect(strings.Count(d.log.String(), "request blamed for a crash")).To(Equal(limit))
+	})
+})
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -105,6 +105,9 @@
 	// AdmitFunc decides whether a query may be run whose answer needs a minimum
 	// of its shards. The reply to a refused one says when to send it again.
 	AdmitFunc func(subs []hysdispatch.SubRequest, minimum int) (hysdispatch.SubReply, bool)
+	// SuspectFunc reports whether a request is refused since it crashes
+	// searchers, and until when.
+	SuspectFunc func(hysquery.Fingerprint) (time.Time, bool)
 	// ObserveFunc is told of each request that has ended.
 	ObserveFunc func(Record)
 )
@@ -116,6 +119,7 @@
 	Submit  hysgather.SubmitFunc
 	// Admit decides whether a query may be run.
 	Admit   AdmitFunc
+	Suspect SuspectFunc
 	Observe ObserveFunc
 	// Closing reports whether connections are to be closed after an answer.
 	Closing func() bool
@@ -130,6 +134,8 @@
 	record  Record
 	route   *hysroute.Route
 	message *hysmessage.Request
+	// fingerprint is the same for all requests that ask the same.
+	fingerprint hysquery.Fingerprint
 	// deadline is when the request is given up.
 	deadline time.Time
 }
@@ -219,6 +225,7 @@
 		return false
 	}
 	e.message = e.passedOn(body)
+	e.fingerprint = hysquery.Fingerprint(e.message.Fingerprint())
 	return true
 }
 
@@ -235,6 +242,10 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
+	if until, suspect := e.ingress.Suspect(e.fingerprint); suspect {
+		e.refuse("the request crashed searchers and is quarantined", time.Until(until))
+		return
+	}
 	if e.route.IsQuery() {
 		e.runQuery(ctx)
 		return
@@ -245,7 +256,7 @@
 // subRequest is what is sent to one searcher of a service.
 func (e *exchange) subRequest(service hysservice.Name) hysdispatch.SubRequest {
 	return hysdispatch.SubRequest{
-		RequestID: e.record.ID, Group: hysgroup.Name(e.route.Name), Weight: 1,
+		RequestID: e.record.ID, Fingerprint: e.fingerprint, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
 		Deadline: e.deadline, Goal: e.route.Goal, Returning: e.record.Returning, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
 	}
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -115,6 +116,9 @@
 			}
 			return hysdispatch.SubReply{}, true
 		},
+		Suspect: func(fingerprint hysquery.Fingerprint) (time.Time, bool) {
+			return time.Now().Add(time.Minute), fingerprint == suspectFingerprint
+		},
 		Submit: func(ctx context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
 			f.subs <- sub
 			reply := c.Replies[sub.Service]
@@ -148,6 +152,12 @@
 	return r
 }
 
+// suspectFingerprint is that of a request that crashes searchers.
+var suspectFingerprint = func() hysquery.Fingerprint {
+	r := hysmessage.Request{Method: http.MethodPost, Host: "127.0.0.1", Target: "/one/suspect"}
+	return hysquery.Fingerprint(r.Fingerprint())
+}()
+
 var _ = Describe("the ingress", func() {
 	var cases []requestCase
 	data, err := os.ReadFile("testdata/requests.json")
@@ -203,6 +213,26 @@
 		Expect(time.Until(sub.Deadline)).To(BeNumerically("~", 700*time.Millisecond, 150*time.Millisecond))
 	})
 
+	It("refuses a request that crashes searchers at once, and no other one", func() {
+		c := requestCase{Path: "/one/suspect", Replies: map[hysservice.Name]scriptedReply{"roll": {Status: 200}}}
+		f := newFixture(c)
+		defer f.server.Close()
+		r := f.request(c)
+		r.Host = "127.0.0.1"
+		response, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("~", 60, 5))
+		Expect((<-f.records).Reason).To(ContainSubstring("quarantined"))
+		Expect(f.subs).To(BeEmpty(), "nothing was sent")
+		c.Path = "/one/other"
+		response, err = http.DefaultClient.Do(f.request(c))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	})
+
 	It("ends the sub-requests of a caller who has left", func() {
 		c := requestCase{Path: "/all/7", Replies: map[hysservice.Name]scriptedReply{"d1": {Status: 200, AfterMS: 1500}, "d2": {Status: 200, AfterMS: 1500}}}
 		f := newFixture(c)
