Ask for the configuration in force, not for a request under it

Cause: a follower takes over the searchers first, then the configuration. The spec asks until the new searcher answers; if that request falls between the two, its line names the old configuration and no other request follows. Ruled out: a configuration that is not taken over (the new check waits for just that line, within the same second). Change: the spec looks for the line that says the version is in force.

--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -54,7 +54,7 @@
 			}}
 		})
 		Eventually(func() string { _, body := follower.ask(); return body }, "2s").Should(Equal("s-2"))
-		Eventually(follower.log.String, "1s").Should(ContainSubstring(`"configuration":4`))
+		Eventually(follower.log.String, "1s").Should(ContainSubstring(`"msg":"configuration in force","instance":"` + string(follower.settings.Instance) + `","version":4`))
 		Consistently(watched(followerStore), "1s").Should(BeNumerically("<=", before+1))
 		Expect(reader.log.String()).NotTo(ContainSubstring("reader followed"))
 	})
