Read the change as a newcomer: one copy, one place, plainer names

The messages are those of peer.proto now, the conversion is internal/hyswire. Behaviour, bounds and assertions are the same, but for the new log line. Tests: platform, hysrelay, hyspeer, cmd; hysfront with the race detector.

--- a/io/hyspeer/suspects.go
+++ b/internal/hyswire/suspects.go
@@ -1,4 +1,10 @@
-package hyspeer
+// Package hyswire converts what more than one protocol between daemons carries.
+//
+// # Usage
+//
+//	reply.Suspects = hyswire.EncodeSuspects(registry.Records())
+//	registry.Merge(hyswire.DecodeSuspects(reply.Suspects))
+package hyswire
 
 import (
 	"time"
@@ -10,20 +16,20 @@
 	"hyssopshore/internal/gen/peer"
 )
 
-// suspectsToWire returns the messages for the evidence against requests.
-func suspectsToWire(records hysquarantine.Records) []*peer.Suspect {
+// EncodeSuspects returns the messages for the evidence against requests.
+func EncodeSuspects(records hysquarantine.Records) []*peer.Suspect {
 	suspects := make([]*peer.Suspect, 0, len(records))
 	for _, r := range records {
 		suspects = append(suspects, &peer.Suspect{
 			Service: string(r.Service), Fingerprint: string(r.Fingerprint),
-			Crashes: crashesToWire(r.Crashes), Lifted: crashesToWire(r.Lifted),
+			Crashes: encodeCrashes(r.Crashes), Lifted: encodeCrashes(r.Lifted),
 			Expires: r.Expires.Unix(),
 		})
 	}
 	return suspects
 }
 
-func crashesToWire(crashes []hysquarantine.Crash) []*peer.Crash {
+func encodeCrashes(crashes []hysquarantine.Crash) []*peer.Crash {
 	messages := make([]*peer.Crash, 0, len(crashes))
 	for _, c := range crashes {
 		messages = append(messages, &peer.Crash{Searcher: string(c.Searcher), Event: c.Event, Alone: c.Alone})
@@ -31,8 +37,8 @@
 	return messages
 }
 
-// suspectsFromWire reads the messages for the evidence against requests.
-func suspectsFromWire(suspects []*peer.Suspect) hysquarantine.Records {
+// DecodeSuspects reads the messages for the evidence against requests.
+func DecodeSuspects(suspects []*peer.Suspect) hysquarantine.Records {
 	records := make(hysquarantine.Records, 0, len(suspects))
 	for _, s := range suspects {
 		records = append(records, hysquarantine.Record{
@@ -40,14 +46,14 @@
 				Service:     hysservice.Name(s.GetService()),
 				Fingerprint: hysquery.Fingerprint(s.GetFingerprint()),
 			},
-			Crashes: crashesFromWire(s.GetCrashes()), Lifted: crashesFromWire(s.GetLifted()),
+			Crashes: decodeCrashes(s.GetCrashes()), Lifted: decodeCrashes(s.GetLifted()),
 			Expires: time.Unix(s.GetExpires(), 0),
 		})
 	}
 	return records
 }
 
-func crashesFromWire(messages []*peer.Crash) []hysquarantine.Crash {
+func decodeCrashes(messages []*peer.Crash) []hysquarantine.Crash {
 	crashes := make([]hysquarantine.Crash, 0, len(messages))
 	for _, c := range messages {
 		crashes = append(crashes, hysquarantine.Crash{
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -39,7 +39,7 @@
 		// The last list holds; the store's state is logged by the readers.
 		return
 	}
-	f.mergeSuspects(shared.Suspects)
+	f.takeEvidence(shared.Evidence)
 	if len(shared.Instances) > 0 {
 		f.noteInstances(shared.Instances)
 	}
--- a/io/hysfront/export_test.go
+++ b/io/hysfront/export_test.go
@@ -6,7 +6,7 @@
 func (f *Front) Configure(c Configured) bool { return f.configure(c) }
 
 // Version is that of the configuration in force.
-func (f *Front) Version() int64 { return int64(f.state.Load().Version) }
+func (f *Front) Version() int64 { return int64(f.configuration().Version) }
 
 // Take takes a snapshot of the store over.
 func (f *Front) Take(s Snapshot) { f.take(s) }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -64,10 +64,9 @@
 	dispatcher   *hysdispatch.Dispatcher
 	ingress      *hysingress.Ingress
 	callers      *callers
-	watch        *hysquarantine.Watch
+	suspects     *hysquarantine.Watch
 	// accusations are the records that are to be written to the store.
 	accusations chan hysquarantine.Record
-	state       atomic.Pointer[hysroute.Configuration]
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	// listed is set once the list of searchers has been read.
@@ -134,7 +133,7 @@
 		assigned: make(map[hysservice.Name]bool),
 		cursors:  make(map[hysmember.InstanceID]hysrelay.Cursor),
 		start:    uuid.NewString(),
-		watch:    hysquarantine.NewWatch(time.Now),
+		suspects: hysquarantine.NewWatch(time.Now),
 
 		accusations: make(chan hysquarantine.Record, accuseQueue),
 
@@ -229,7 +228,7 @@
 // awaitConfiguration returns the configuration in force. A daemon that has just
 // started waits for it, unless neither the store nor another daemon answers.
 func (f *Front) awaitConfiguration(ctx context.Context) *hysroute.Configuration {
-	if state := f.state.Load(); state != nil || f.store.isLost() && f.others.isLost() {
+	if state := f.configuration(); state != nil || f.store.isLost() && f.others.isLost() {
 		return state
 	}
 	timer := time.NewTimer(firstWait)
@@ -239,16 +238,24 @@
 	case <-timer.C:
 	case <-f.configured:
 	}
-	return f.state.Load()
+	return f.configuration()
+}
+
+// configuration is the one in force, nil if there is none yet.
+func (f *Front) configuration() *hysroute.Configuration {
+	if c := f.newest.Load(); c != nil {
+		return c.Configuration
+	}
+	return nil
 }
 
 // ready reports whether new callers should come to this daemon.
 func (f *Front) ready() bool {
-	return f.state.Load() != nil && f.listed.Load() && !f.leaving.Load()
+	return f.configuration() != nil && f.listed.Load() && !f.leaving.Load()
 }
 
 // turnsAway reports whether callers should connect to another daemon.
-func (f *Front) turnsAway() bool { return f.leaving.Load() || f.state.Load() == nil }
+func (f *Front) turnsAway() bool { return f.leaving.Load() || f.configuration() == nil }
 
 func (f *Front) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !f.ready() {
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -119,7 +119,7 @@
 			defer s.mu.Unlock()
 			return hysfront.Shared{Instances: s.peers}, nil
 		},
-		Accuse: func(_ context.Context, _ hysmember.InstanceID, r hysquarantine.Record) error {
+		Accuse: func(_ context.Context, _ hysmember.InstanceID, r hysquarantine.Record, _ time.Duration) error {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.accused = append(s.accused, r)
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -54,7 +54,7 @@
 
 // relayPause is the time until others are asked again.
 func (f *Front) relayPause() time.Duration {
-	if f.state.Load() == nil {
+	if f.configuration() == nil {
 		return firstRelayInterval
 	}
 	return relayInterval
@@ -176,7 +176,7 @@
 		n.Instances = f.announced
 	}
 	if n.Searchers.Whole || f.suspectsChanged > since {
-		n.Suspects = f.watch.Records()
+		n.Suspects = f.suspects.Records()
 	}
 	return n
 }
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -19,8 +19,8 @@
 	defaultRetryShare = 0.1
 	defaultRetrySlack = 10
 	defaultMinLease   = time.Second
-	// defaultApplyWithin is the shortest bound that deployments are known to have.
-	defaultApplyWithin = 3 * time.Second
+	// defaultChangeWithin is the shortest bound that deployments are known to have.
+	defaultChangeWithin = 3 * time.Second
 )
 
 // Settings are what a frontend daemon is started with.
@@ -47,8 +47,10 @@
 	RetrySlack float64
 	// MinLease is the shortest lease of the store.
 	MinLease time.Duration
-	// ApplyWithin is how soon a change in the store must be in force.
+	// ApplyWithin and DrainWithin are how soon a configuration, and the leaving
+	// of a searcher, must be in force after the store has them.
 	ApplyWithin time.Duration
+	DrainWithin time.Duration
 }
 
 // Defaults fills in what was left out.
@@ -66,7 +68,10 @@
 		s.MinLease = defaultMinLease
 	}
 	if s.ApplyWithin == 0 {
-		s.ApplyWithin = defaultApplyWithin
+		s.ApplyWithin = defaultChangeWithin
+	}
+	if s.DrainWithin == 0 {
+		s.DrainWithin = defaultChangeWithin
 	}
 }
 
@@ -86,8 +91,11 @@
 			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
 		}
 	}
-	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 || s.ApplyWithin < 0 {
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 || s.changeWithin() < 0 {
 		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
 	}
 	return nil
 }
+
+// changeWithin is how soon any change in the store must be in force.
+func (s *Settings) changeWithin() time.Duration { return min(s.ApplyWithin, s.DrainWithin) }
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -60,8 +60,7 @@
 type Changes struct {
 	Configured Configured
 	Updates    []Update
-	// Suspects are records of requests that crash searchers.
-	Suspects hysquarantine.Records
+	Evidence   Evidence
 	// Revision is where the next watch goes on.
 	Revision hysmember.Revision
 	// Events counts the changes of all keys, of whatever kind.
@@ -72,8 +71,14 @@
 type Shared struct {
 	// Instances are those that are announced.
 	Instances hysmember.Instances
-	// Suspects are records of requests that crash searchers.
-	Suspects hysquarantine.Records
+	Evidence  Evidence
+}
+
+// Evidence is what daemons have written of requests that crash searchers.
+type Evidence struct {
+	Records hysquarantine.Records
+	// Unread are the errors of those that can't be read.
+	Unread []error
 }
 
 // LeaseID identifies a lease of the store.
@@ -95,6 +100,7 @@
 	Renew func(context.Context, LeaseID) error
 	// Shared returns what the daemons have written for each other.
 	Shared func(context.Context) (Shared, error)
-	// Accuse writes what an instance knows of a request that crashes searchers.
-	Accuse func(context.Context, hysmember.InstanceID, hysquarantine.Record) error
+	// Accuse writes what an instance knows of a request that crashes searchers,
+	// for as long as a lease holds.
+	Accuse func(context.Context, hysmember.InstanceID, hysquarantine.Record, time.Duration) error
 }
--- a/io/hysfront/suspect.go
+++ b/io/hysfront/suspect.go
@@ -16,6 +16,8 @@
 	accuseQueue = 64
 	// accuseInterval is the least time between two writes.
 	accuseInterval = 200 * time.Millisecond
+	// evidenceLease is how long it lies there. The daemons keep it longer.
+	evidenceLease = 10 * time.Minute
 )
 
 // suspectKey is that of a request at all services: a query that crashes
@@ -26,7 +28,7 @@
 
 // suspect reports whether a request is refused since it crashes searchers.
 func (f *Front) suspect(fingerprint hysquery.Fingerprint) (time.Time, bool) {
-	return f.watch.Refuses(suspectKey(fingerprint))
+	return f.suspects.Refuses(suspectKey(fingerprint))
 }
 
 // judge notes what a send tells of its request.
@@ -34,19 +36,19 @@
 	key := suspectKey(sub.Fingerprint)
 	switch r.Fault {
 	case hysdispatch.FaultNone, hysdispatch.FaultFailed:
-		if cleared, ok := f.watch.Answered(key); ok {
+		if cleared, ok := f.suspects.Answered(key); ok {
 			f.log.Info("request cleared", "id", sub.RequestID, "fingerprint", sub.Fingerprint, "searcher", s.ID)
 			f.accuse(cleared)
 		}
 	case hysdispatch.FaultLost, hysdispatch.FaultSilent:
-		f.watch.Lost(key, s.ID, strconv.FormatInt(f.directory.Born(s.ID), 10))
+		f.suspects.Lost(key, s.ID, strconv.FormatInt(f.directory.Born(s.ID), 10))
 	}
 }
 
 // searcherDown blames the requests that were lost at a searcher.
 func (f *Front) searcherDown(id hysmember.SearcherID) {
-	for _, r := range f.watch.Crashed(id) {
-		_, refused := f.watch.Refuses(r.Key)
+	for _, r := range f.suspects.Crashed(id) {
+		_, refused := f.suspects.Refuses(r.Key)
 		f.log.Warn("request blamed for a crash", "fingerprint", r.Fingerprint, "searcher", id,
 			"crashes", len(r.Counted()), "refused", refused)
 		f.accuse(r)
@@ -71,14 +73,22 @@
 	f.suspectsChanged = f.directory.Stamp()
 }
 
+// takeEvidence takes over what the store tells of requests.
+func (f *Front) takeEvidence(e Evidence) {
+	for _, err := range e.Unread {
+		f.log.Warn("evidence not read", "error", err)
+	}
+	f.mergeSuspects(e.Records)
+}
+
 // mergeSuspects takes the records of other daemons over.
 func (f *Front) mergeSuspects(records hysquarantine.Records) {
-	if len(records) == 0 || !f.watch.Merge(records) {
+	if len(records) == 0 || !f.suspects.Merge(records) {
 		return
 	}
 	f.noteSuspects()
 	for _, r := range records {
-		_, refused := f.watch.Refuses(r.Key)
+		_, refused := f.suspects.Refuses(r.Key)
 		f.log.Info("evidence learned", "fingerprint", r.Fingerprint, "crashes", len(r.Counted()), "refused", refused)
 	}
 }
@@ -90,7 +100,7 @@
 		case <-ctx.Done():
 			return
 		case r := <-f.accusations:
-			if err := f.source.Accuse(ctx, f.settings.Instance, r); err != nil {
+			if err := f.source.Accuse(ctx, f.settings.Instance, r, evidenceLease); err != nil {
 				f.log.Warn("evidence not written", "fingerprint", r.Fingerprint, "error", err)
 			}
 			sleep(ctx, accuseInterval)
--- a/io/hysfront/warm.go
+++ b/io/hysfront/warm.go
@@ -16,7 +16,7 @@
 // nearest one of each shard of queries. More would be in the way after a loss of
 // power: the searchers count the connections of before until they time out.
 func (f *Front) chooseWarm(byService map[hysservice.Name][]hysdispatch.Replica) hysmember.Searchers {
-	state := f.state.Load()
+	state := f.configuration()
 	if state == nil {
 		return nil
 	}
--- a/io/hyspeer/exchanger.go
+++ b/io/hyspeer/exchanger.go
@@ -11,6 +11,7 @@
 	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysticket"
 	"hyssopshore/internal/gen/peer"
+	"hyssopshore/internal/hyswire"
 )
 
 // Timing of the exchange between daemons.
@@ -143,7 +144,7 @@
 		Instance: string(own.Instance.ID), Leaving: own.Leaving, Address: string(own.Instance.Address),
 		Zone: string(own.Instance.Zone), Region: string(own.Instance.Region),
 	}
-	r.Suspects = suspectsToWire(e.Registry.Records())
+	r.Suspects = hyswire.EncodeSuspects(e.Registry.Records())
 	content := contentOf(r)
 	e.mu.Lock()
 	if e.incarnation == 0 {
@@ -288,7 +289,7 @@
 		}
 	}
 	for _, r := range listed {
-		e.Registry.Merge(suspectsFromWire(r.GetSuspects()))
+		e.Registry.Merge(hyswire.DecodeSuspects(r.GetSuspects()))
 	}
 	e.Table.Merge(listed, pass)
 	e.refute(reports)
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -21,10 +21,10 @@
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquarantine"
-	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/internal/gen/front"
 	"hyssopshore/internal/gen/front/frontconnect"
+	"hyssopshore/internal/hyswire"
 )
 
 // Timeouts of a call.
@@ -133,31 +133,10 @@
 			Id: string(i.ID), Address: string(i.Address), Zone: string(i.Zone), Region: string(i.Region),
 		})
 	}
-	for _, s := range n.Suspects {
-		r.Suspects = append(r.Suspects, &front.Suspect{
-			Fingerprint: string(s.Fingerprint), ExpiresMs: s.Expires.UnixMilli(),
-			Crashes: encodeCrashes(s.Crashes), Lifted: encodeCrashes(s.Lifted),
-		})
-	}
+	r.Suspects = hyswire.EncodeSuspects(n.Suspects)
 	return r
 }
 
-func encodeCrashes(crashes []hysquarantine.Crash) []*front.Crash {
-	var all []*front.Crash
-	for _, c := range crashes {
-		all = append(all, &front.Crash{Searcher: string(c.Searcher), Event: c.Event})
-	}
-	return all
-}
-
-func decodeCrashes(crashes []*front.Crash) []hysquarantine.Crash {
-	var all []hysquarantine.Crash
-	for _, c := range crashes {
-		all = append(all, hysquarantine.Crash{Searcher: hysmember.SearcherID(c.Searcher), Event: c.Event})
-	}
-	return all
-}
-
 func decode(r *front.FollowReply) News {
 	version := hysmember.Version(r.Version)
 	n := News{
@@ -184,11 +163,6 @@
 			Zone: hysmember.Zone(i.Zone), Region: hysmember.Region(i.Region),
 		})
 	}
-	for _, s := range r.Suspects {
-		n.Suspects = append(n.Suspects, hysquarantine.Record{
-			Key:     hysquarantine.Key{Fingerprint: hysquery.Fingerprint(s.Fingerprint)},
-			Crashes: decodeCrashes(s.Crashes), Lifted: decodeCrashes(s.Lifted), Expires: time.UnixMilli(s.ExpiresMs),
-		})
-	}
+	n.Suspects = hyswire.DecodeSuspects(r.Suspects)
 	return n
 }
--- a/io/hysrelay/relay_test.go
+++ b/io/hysrelay/relay_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquarantine"
 	"hyssopshore/internal/hyssuite"
 	"hyssopshore/io/hysrelay"
 )
@@ -46,6 +47,12 @@
 				Gone: []hysmember.Gone{{ID: "s-2", Revision: 8}},
 			},
 			Instances: hysmember.Instances{{ID: "i-1", Address: "10.0.0.2:90", Zone: "z", Region: "r"}},
+			Suspects: hysquarantine.Records{{
+				Key:     hysquarantine.Key{Fingerprint: "f00d"},
+				Crashes: []hysquarantine.Crash{{Searcher: "s-1", Event: "4"}, {Searcher: "s-2", Event: "5"}},
+				Lifted:  []hysquarantine.Crash{{Searcher: "s-1", Event: "4"}},
+				Expires: time.Unix(9000, 0),
+			}},
 		}
 		var since hysrelay.Cursor
 		address := serve(func(_ context.Context, s hysrelay.Cursor, wait time.Duration) hysrelay.News {
