--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -85,7 +85,10 @@
 		return SubReply{}, false
 	}
 	now := t.now()
-	wait := s.wait(c.item(s, nil))
+	if rest := s.rest(now); rest > c.sub.allowance(now) {
+		return notSent(c.sub, hysquery.ShardOverloaded, "every searcher of the shard has asked for rest", rest), true
+	}
+	wait := s.wait(now, c.item(s, nil))
 	if now.Add(wait + s.mean).After(c.sub.Deadline) {
 		return notSent(c.sub, hysquery.ShardOverloaded, "the queue is longer than the deadline", max(wait, minRetryAfter)), true
 	}
@@ -107,9 +110,10 @@
 // refused query says when to send it again.
 func (d *Dispatcher) Admit(subs []SubRequest, minimum int) (SubReply, bool) {
 	waits := make([]time.Duration, 0, len(subs))
+	rests := make([]time.Duration, 0, len(subs))
 	for i := range subs {
-		if wait, usable := d.smoothedWait(&subs[i]); usable {
-			waits = append(waits, wait)
+		if wait, rest, usable := d.smoothedWait(&subs[i]); usable {
+			waits, rests = append(waits, wait), append(rests, rest)
 		}
 	}
 	first := &subs[0]
@@ -117,7 +121,11 @@
 		return notSent(*first, hysquery.ShardUnavailable, "too few shards have searchers", unavailableRetry), false
 	}
 	slices.Sort(waits)
+	slices.Sort(rests)
 	now, wait := d.now(), waits[minimum-1]
+	if rest := rests[minimum-1]; rest > first.allowance(now) {
+		return notSent(*first, hysquery.ShardOverloaded, "the searchers of too many shards have asked for rest", rest), false
+	}
 	part := admitted(wait, first.allowance(now))
 	if first.drawn() > part {
 		return notSent(*first, hysquery.ShardOverloaded, "the shards' queues are too long", first.returnAfter(now, wait, part)), false
@@ -128,19 +136,20 @@
 	return SubReply{}, true
 }
 
-// smoothedWait returns how long a sub-request would wait, and whether its shard
-// has a searcher.
-func (d *Dispatcher) smoothedWait(sub *SubRequest) (time.Duration, bool) {
+// smoothedWait returns how long a sub-request would wait for a slot, how long its
+// shard rests, and whether it has a searcher.
+func (d *Dispatcher) smoothedWait(sub *SubRequest) (wait, rest time.Duration, usable bool) {
 	t := d.table(sub.Service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &call{dispatcher: d, table: t, sub: *sub}
 	s, ok := t.shards[c.key()]
 	if !ok || !s.hasReplica() {
-		return 0, false
+		return 0, 0, false
 	}
+	now := t.now()
 	key := pressureKey{group: sub.Group, class: sub.Class}
-	return s.pressure.smooth(key, t.now(), s.wait(c.item(s, nil))), true
+	return s.pressure.smooth(key, now, s.wait(now, c.item(s, nil))), s.rest(now), true
 }
 
 // refusable reports whether the sub-request may be refused for a long queue
@@ -178,6 +187,18 @@
 	return slices.ContainsFunc(s.replicas, func(r *replica) bool { return r.state() != stateLeaving })
 }
 
+// rest is how long none of the shard's searchers may be sent to: each has asked
+// for rest or can't be reached for now. It is 0 while one may.
+func (s *shard) rest(now time.Time) time.Duration {
+	earliest, found := time.Time{}, false
+	for _, r := range s.replicas {
+		if at, ok := r.servesAt(); ok && (!found || at.Before(earliest)) {
+			earliest, found = at, true
+		}
+	}
+	return max(earliest.Sub(now), 0)
+}
+
 // admitted is the part of the requests that is taken at a wait.
 func admitted(wait, left time.Duration) float64 {
 	return 1 - (wait.Seconds()/(waitPart*left.Seconds())-startRefusal)/(fullRefusal-startRefusal)
@@ -191,10 +212,10 @@
 }
 
 // wait estimates how long an item would wait for a slot.
-func (s *shard) wait(i hysqueue.Item) time.Duration {
+func (s *shard) wait(now time.Time, i hysqueue.Item) time.Duration {
 	slots, active := 0.0, 0
 	for _, r := range s.replicas {
-		if r.state() == stateServing {
+		if r.serves(now) {
 			slots += r.concurrency.limit
 			active += len(r.active)
 		}
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -173,7 +173,7 @@
 func (c *call) failed() SubReply {
 	switch c.last.Fault {
 	case FaultShed:
-		c.last.RetryAfter = max(c.last.RetryAfter, minRetryAfter)
+		c.last.RetryAfter = max(c.rest(), minRetryAfter)
 		return c.reply(hysquery.ShardOverloaded, c.last)
 	case FaultVersionGone:
 		return c.reply(hysquery.ShardVersionGone, c.last)
@@ -189,6 +189,14 @@
 	}
 }
 
+// rest is how long no searcher of the shard may be sent to.
+func (c *call) rest() time.Duration {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shard(c.key()).rest(t.now())
+}
+
 func (c *call) timeout() SubReply {
 	c.abandon()
 	return c.reply(hysquery.ShardTimeout, Result{Reason: "no searcher answered in time"})
--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -69,10 +69,11 @@
 	if last.replica == nil {
 		return delay
 	}
-	if left := delay - t.now().Sub(last.started); left > 0 {
+	now := t.now()
+	if left := delay - now.Sub(last.started); left > 0 {
 		return left
 	}
-	if s.wait(c.item(s, nil)).Seconds() > hedgeWaitPart*delay.Seconds() || !c.otherReplica(s) {
+	if s.wait(now, c.item(s, nil)).Seconds() > hedgeWaitPart*delay.Seconds() || !c.otherReplica(s) {
 		return delay
 	}
 	if t.budget.Spend(c.dispatcher.hedge.Reserve) {
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -78,11 +78,13 @@
 	recent      estimate
 	// reliability is kept apart from the backoff, which ends with one answer.
 	reliability reliability
-	latency     time.Duration
-	used        time.Time
-	backoff     time.Duration
-	pause       time.Duration
-	retryAt     time.Time
+	// restraint is what the searcher has asked of this instance.
+	restraint *restraint
+	latency   time.Duration
+	used      time.Time
+	backoff   time.Duration
+	pause     time.Duration
+	retryAt   time.Time
 	// bulkAt is when bulk sub-requests may be sent again, urgentAt when an
 	// urgent one was last answered.
 	bulkAt   time.Time
@@ -92,7 +94,7 @@
 	connected ConnectedFunc
 }
 
-func newReplica(r Replica, slots int, connected ConnectedFunc) *replica {
+func newReplica(r Replica, slots int, asked *restraint, connected ConnectedFunc) *replica {
 	m := stateless.NewStateMachine(stateServing)
 	m.Configure(stateServing).
 		Permit(triggerFailed, stateBackoff).
@@ -111,7 +113,7 @@
 		Permit(triggerRestarted, stateServing)
 	return &replica{
 		Replica: r, machine: m, slots: slots, concurrency: newConcurrency(slots),
-		jobs: make(chan job, slots), connected: connected,
+		jobs: make(chan job, slots), connected: connected, restraint: asked,
 	}
 }
 
@@ -132,20 +134,42 @@
 	r.backoff, r.pause, r.retryAt = 0, 0, time.Time{}
 }
 
-// servesBy reports whether the replica serves, or may be tried again by a time.
-func (r *replica) servesBy(t time.Time) bool {
+// servesAt is when the replica may next be sent to, which is past while it
+// serves. It is false for one that is leaving.
+func (r *replica) servesAt() (time.Time, bool) {
 	switch r.state() {
 	case stateServing:
-		return true
+		return r.restraint.quietUntil, true
 	case stateBackoff:
-		return !r.retryAt.After(t)
+		return later(r.retryAt, r.restraint.quietUntil), true
 	default:
-		return false
+		return time.Time{}, false
+	}
+}
+
+// servesBy reports whether the replica serves, or may be tried again by a time.
+func (r *replica) servesBy(t time.Time) bool {
+	at, ok := r.servesAt()
+	return ok && !at.After(t)
+}
+
+// serves reports whether the replica serves and has not asked for rest.
+func (r *replica) serves(now time.Time) bool {
+	return r.state() == stateServing && !now.Before(r.restraint.quietUntil)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // free reports whether the replica may get a sub-request now.
 func (r *replica) free(now time.Time) bool {
+	if now.Before(r.restraint.quietUntil) {
+		return false
+	}
 	switch r.state() {
 	case stateLeaving:
 		return false
@@ -239,7 +263,8 @@
 }
 
 func (r *replica) observe(now time.Time, result Result, latency time.Duration, sub SubRequest) {
-	if result.Draining {
+	r.restraint.note(now, result)
+	if r.restraint.leaving {
 		r.fire(triggerDraining)
 	}
 	if result.Fault != FaultCancelled {
@@ -254,13 +279,11 @@
 	case FaultRefused, FaultLost, FaultMisdirected, FaultStalled:
 		r.fire(triggerFailed)
 		r.backoff = min(max(r.backoff*2, minBackoff), maxBackoff)
-		r.retryAt = now.Add(max(r.backoff, min(result.RetryAfter, maxBackoff)))
+		r.retryAt = now.Add(r.backoff)
 	case FaultShed:
 		r.shed(sub)
 		r.pause = min(max(r.pause*2, minShedPause), maxShedPause)
-		r.retryAt = now.Add(max(r.pause, min(result.RetryAfter, maxShedPause)))
-	case FaultDraining:
-		r.fire(triggerDraining)
+		r.retryAt = now.Add(r.pause)
 	case FaultCancelled:
 		// The latency of a cancelled send is a lower bound.
 		if latency > r.latency {
@@ -269,6 +292,8 @@
 		if r.concurrency.congested(latency, sub.Goal) {
 			r.concurrency.cut(sub.Class)
 		}
+	case FaultDraining:
+		// The restraint holds.
 	case FaultSilent:
 		// Its share of faults rises, but other connections may work: no backoff.
 	}
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -42,6 +42,8 @@
 	queue     []hysqueue.Option
 	shards    map[shardKey]*shard
 	replicas  map[hysmember.SearcherID]*replica
+	// restraints outlive the replicas.
+	restraints restraints
 }
 
 type shard struct {
@@ -84,7 +86,7 @@
 	return &table{
 		now: d.now, send: d.send, queue: d.queue, budget: budget, pooled: d.pooled, connected: d.connected,
 		shards:   make(map[shardKey]*shard),
-		replicas: make(map[hysmember.SearcherID]*replica),
+		replicas: make(map[hysmember.SearcherID]*replica), restraints: make(restraints),
 	}
 }
 
@@ -101,8 +103,10 @@
 		if !listed[id] {
 			close(r.jobs)
 			delete(t.replicas, id)
+			t.restraints.drop(id, t.now())
 		}
 	}
+	t.restraints.forget(t.now())
 	t.index()
 	t.match()
 }
@@ -117,7 +121,7 @@
 		ok = false
 	}
 	if !ok {
-		known = newReplica(updated, slots, t.connected)
+		known = newReplica(updated, slots, t.restraints.of(updated.Searcher.ID, updated.Incarnation), t.connected)
 		t.replicas[updated.Searcher.ID] = known
 		for range slots {
 			go t.work(known)
@@ -125,9 +129,10 @@
 	}
 	if updated.Incarnation > known.Incarnation {
 		known.restart()
+		known.restraint = t.restraints.of(updated.Searcher.ID, updated.Incarnation)
 	}
 	known.Replica = updated
-	if updated.Searcher.Leaving {
+	if updated.Searcher.Leaving || known.restraint.leaving {
 		known.fire(triggerDraining)
 	}
 }
@@ -234,14 +239,14 @@
 func (s *shard) patience(now time.Time) time.Duration {
 	fastest, usual := time.Duration(-1), s.usualTime()
 	for _, r := range s.replicas {
-		if e := r.expected(now, usual) + r.reliability.cost(now); r.state() == stateServing && (fastest < 0 || e < fastest) {
+		if e := r.expected(now, usual) + r.reliability.cost(now); r.serves(now) && (fastest < 0 || e < fastest) {
 			fastest = e
 		}
 	}
 	limit := slowFactor * max(fastest, usual)
 	slots := 0.0
 	for _, r := range s.replicas {
-		if r.state() == stateServing && r.expected(now, usual) <= limit {
+		if r.serves(now) && r.expected(now, usual) <= limit {
 			slots += r.concurrency.limit
 		}
 	}
--- a/core/hysmember/delta.go
+++ b/core/hysmember/delta.go
@@ -22,11 +22,13 @@
 	Whole   bool
 	Entries Entries
 	Gone    []Gone
-	// Digest is that of all entries, as they are used.
+	// Leavers are the searchers that have said that they are leaving.
+	Leavers Leavers
+	// Digest is that of all entries, as they are listed.
 	Digest Digest
 }
 
-// Digest is the same for two Directories with the same searchers to use. It
+// Digest is the same for two Directories with the same searchers listed. It
 // tells a follower that it lacks something that is not told again: a searcher
 // that it saw missing when it read the store itself, and its reader did not.
 type Digest uint64
--- a/core/hysmember/delta_test.go
+++ b/core/hysmember/delta_test.go
@@ -19,7 +19,9 @@
 	born             map[hysmember.SearcherID]int64
 	reader, follower *hysmember.Directory
 	cursor           hysmember.Version
-	revision         hysmember.Revision
+	// left are the starts of searchers that have said that they are leaving.
+	left     map[hysmember.SearcherID]int64
+	revision hysmember.Revision
 	// complete is the revision up to which the reader knows everything.
 	complete hysmember.Revision
 	now      time.Time
@@ -28,13 +30,15 @@
 func newPair() *pair {
 	return &pair{
 		listed: make(map[hysmember.SearcherID]hysmember.Entry), born: make(map[hysmember.SearcherID]int64),
+		left:   make(map[hysmember.SearcherID]int64),
 		reader: hysmember.NewDirectory(), follower: hysmember.NewDirectory(), now: time.Unix(1000, 0),
 	}
 }
 
-// follow tells the follower the news of the reader. If they differ then, it is
-// told everything the next time.
+// follow tells the reader of the searchers that are leaving, and the follower the
+// news of the reader. If they differ then, it is told everything the next time.
 func (p *pair) follow(*rapid.T) {
+	p.reader.LeaveAll(p.follower.LeaversSince(0))
 	x := p.reader.Since(p.cursor)
 	p.follower.Apply(x, p.complete)
 	p.cursor = x.Version
@@ -53,6 +57,9 @@
 	}
 	want := hysmember.NewDirectory()
 	p.list(want)
+	for id, born := range p.left {
+		want.Leave(hysmember.Leaver{ID: id, Born: born})
+	}
 	if got := uses(p.follower); got != uses(want) {
 		t.Fatalf("follower %s, listed %s", got, uses(want))
 	}
@@ -160,10 +167,25 @@
 				p.list(d)
 			}
 		},
-		"outage":     p.outage,
-		"settle":     p.settle,
-		"follow":     p.follow,
-		"start anew": func(*rapid.T) { p.follower, p.cursor = hysmember.NewDirectory(), 0 },
+		"leave": func(t *rapid.T) {
+			id, knows := drawID(t), p.reader
+			if rapid.Bool().Draw(t, "told the follower") {
+				knows = p.follower
+			}
+			// A searcher is sent to after it was listed.
+			if born := p.born[id]; born > 0 {
+				p.left[id] = born
+				knows.Leave(hysmember.Leaver{ID: id, Born: born})
+			}
+		},
+		"outage": p.outage,
+		"settle": p.settle,
+		"follow": p.follow,
+		"start anew": func(t *rapid.T) {
+			// What only this one was told is lost with it.
+			p.follow(t)
+			p.follower, p.cursor = hysmember.NewDirectory(), 0
+		},
 	}
 }
 
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -73,7 +73,9 @@
 	// missing holds since when an entry is no longer listed.
 	missing map[SearcherID]time.Time
 	// removed holds the revision at which an id was last removed.
-	removed  map[SearcherID]Revision
+	removed map[SearcherID]Revision
+	// leavers are the searchers that have said themselves that they are leaving.
+	leavers  map[SearcherID]leaver
 	away     bool
 	returned time.Time
 	news     news
@@ -87,6 +89,7 @@
 		entries: make(map[SearcherID]Entry),
 		missing: make(map[SearcherID]time.Time),
 		removed: make(map[SearcherID]Revision),
+		leavers: make(map[SearcherID]leaver),
 		news:    newNews(),
 	}
 }
@@ -122,6 +125,9 @@
 	}
 	d.entries[id] = e
 	delete(d.missing, id)
+	if l, ok := d.leavers[id]; ok && e.Born > l.born {
+		delete(d.leavers, id)
+	}
 	if ok && !e.sameUse(known) {
 		d.digest ^= known.digest()
 	}
@@ -204,6 +210,7 @@
 	for _, g := range x.Gone {
 		changes = append(changes, d.forget(g)...)
 	}
+	changes = append(changes, d.leaveAll(x.Leavers)...)
 	if !x.Whole {
 		return changes
 	}
@@ -246,6 +253,7 @@
 			x.Gone = append(x.Gone, Gone{ID: id, Revision: g.revision})
 		}
 	}
+	x.Leavers = d.leaversSince(v)
 	return x
 }
 
@@ -263,6 +271,13 @@
 	return d.news.next()
 }
 
+// Version is that of the last change.
+func (d *Directory) Version() Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.news.version
+}
+
 // Changed returns a channel that is closed once something has changed since a
 // version.
 func (d *Directory) Changed(since Version) <-chan struct{} {
@@ -310,13 +325,14 @@
 	return d.entries[id].Born
 }
 
-// Entries returns what is known, in the order of the ids.
+// Entries returns what is known, in the order of the ids, with what the searchers
+// have said themselves.
 func (d *Directory) Entries() Entries {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := make(Entries, 0, len(d.entries))
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		all = append(all, d.entries[id])
+		all = append(all, d.asUsed(d.entries[id]))
 	}
 	return all
 }
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -14,9 +14,11 @@
 // directoryStep is one step of testdata/directory.json: one of the actions, and
 // what is to be seen after it.
 type directoryStep struct {
-	AtMS    int                     `json:"at-ms"`
-	Put     hysmember.SearcherID    `json:"put"`
-	Remove  hysmember.SearcherID    `json:"remove"`
+	AtMS   int                  `json:"at-ms"`
+	Put    hysmember.SearcherID `json:"put"`
+	Remove hysmember.SearcherID `json:"remove"`
+	// Leaves is a searcher that says itself that it is leaving.
+	Leaves  hysmember.SearcherID    `json:"leaves"`
 	Replace *[]hysmember.SearcherID `json:"replace"`
 	Settle  *[]hysmember.SearcherID `json:"settle"`
 	Lose    bool                    `json:"lose"`
@@ -41,6 +43,9 @@
 		e.Born, e.Sequence, e.Searcher.Leaving = s.Born, s.Seq, string(s.Drains) == "true"
 		change, _ = d.Put(e)
 		Expect(change.Kind.String()).To(Equal(s.kind()))
+	case s.Leaves != "":
+		change, _ = d.Leave(hysmember.Leaver{ID: s.Leaves, Born: s.Born})
+		Expect(change.Kind.String()).To(Equal(s.kind()))
 	case s.Remove != "":
 		change, _ = d.Remove(s.Remove, s.Rev, now)
 		Expect(change.Kind.String()).To(Equal(s.kind()))
--- a/io/hysconn/conn.go
+++ b/io/hysconn/conn.go
@@ -1,8 +1,14 @@
-// Package hysconn tells what has happened to a connection that lies idle.
+// Package hysconn holds what all clients of backend servers need of their
+// connections: whether one that lies idle can still be used, and a bound on what
+// is read from it.
 //
 // # Usage
 //
 //	if !hysconn.Quiet(conn) { conn.Close() }
+//
+//	r := hysconn.NewReader(conn, memory)
+//	r.Begin(headBytes)
+//	defer r.End()
 package hysconn
 
 import (
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysconn"
 )
 
 // ErrConnectionCap means that this instance may open no more connections.
@@ -41,6 +42,8 @@
 	// say how long it keeps it.
 	defaultIdleTime   = 30 * time.Second
 	defaultConnectCap = 8
+	// defaultResponseMemory is what responses in flight may hold, in bytes.
+	defaultResponseMemory = 32 << 20
 	// resetSpan is how long a searcher is taken to be at its limit of
 	// connections after it has ended a new one.
 	resetSpan = 10 * time.Second
@@ -55,6 +58,8 @@
 	Searcher string
 	// NotRun names the field of a response that says that nothing has run.
 	NotRun string
+	// Leaving names the field of the responses of a searcher that is leaving.
+	Leaving string
 }
 
 // DownFunc is told of a searcher whose address nothing listens on any more.
@@ -68,6 +73,8 @@
 	headers Headers
 	cap     CapFunc
 	down    DownFunc
+	// memory is for the responses that are read.
+	memory *hysconn.Memory
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
@@ -104,12 +111,17 @@
 	return func(c *Client) { c.down = down }
 }
 
+// WithResponseMemory bounds the bytes that the responses in flight hold together.
+func WithResponseMemory(bytes int64) Option {
+	return func(c *Client) { c.memory = hysconn.NewMemory(bytes) }
+}
+
 // New returns a client without connections.
 func New(headers Headers, options ...Option) *Client {
 	c := &Client{
 		headers: headers, pools: make(map[poolKey]*pool),
 		cap:  func(hysmember.Searcher) int { return defaultConnectCap },
-		down: func(hysmember.Searcher) {},
+		down: func(hysmember.Searcher) {}, memory: hysconn.NewMemory(defaultResponseMemory),
 	}
 	for _, o := range options {
 		o(c)
@@ -134,7 +146,7 @@
 	if !c.reserve(s) {
 		return nil, fmt.Errorf("connect to %s: %w", s.ID, ErrConnectionCap)
 	}
-	conn, err := dial(ctx, s.Address)
+	conn, err := c.dial(ctx, s.Address)
 	if errors.Is(err, unix.ECONNREFUSED) {
 		c.down(s)
 	}
@@ -268,7 +280,7 @@
 	p.idle = nil
 }
 
-func dial(ctx context.Context, address hysmember.Address) (*connection, error) {
+func (c *Client) dial(ctx context.Context, address hysmember.Address) (*connection, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", string(address))
 	if err != nil {
@@ -278,7 +290,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	return newConnection(conn), nil
+	return newConnection(conn, c.memory), nil
 }
 
 func setSilenceTimeout(conn net.Conn) error {
--- a/io/hysforward/connection.go
+++ b/io/hysforward/connection.go
@@ -32,7 +32,12 @@
 
 // Limits of a response.
 const (
-	maxResponse = 8 << 20
+	// maxHead bounds the heads of a response and of interim ones before it, in
+	// bytes; maxBody bounds its body and what frames it.
+	maxHead = 64 << 10
+	maxBody = 8 << 20
+	// bodyPart is the part of the memory for responses that one body may take.
+	bodyPart = 0.25
 	// maxForeign is how many responses to earlier requests are passed over.
 	maxForeign = 3
 	// maxInterim is how many interim responses are passed over.
@@ -48,7 +53,11 @@
 // connection carries one request at a time to a searcher.
 type connection struct {
 	net.Conn
+	// bounds limits what reader reads.
+	bounds *hysconn.Reader
 	reader *bufio.Reader
+	// maxBody is the largest body that is read, in bytes.
+	maxBody int64
 	// kept is set once the connection has been idle: the searcher may have
 	// closed it.
 	kept bool
@@ -64,8 +73,12 @@
 	return now.Before(c.expires) && hysconn.Quiet(c.Conn)
 }
 
-func newConnection(c net.Conn) *connection {
-	return &connection{Conn: c, reader: bufio.NewReader(c)}
+func newConnection(c net.Conn, memory *hysconn.Memory) *connection {
+	bounds := hysconn.NewReader(c, memory)
+	return &connection{
+		Conn: c, bounds: bounds, reader: bufio.NewReader(bounds),
+		maxBody: min(maxBody, int64(bodyPart*float64(memory.Limit()))),
+	}
 }
 
 // settleTime is how long a searcher at its limit takes to end a connection that
@@ -96,12 +109,17 @@
 	// idField and id tell the response from others.
 	idField string
 	id      string
+	// leavingField is set in the responses of a searcher that is leaving.
+	leavingField string
 }
 
 // received is a response and whether its connection may be used again.
 type received struct {
 	response *hysmessage.Response
 	reusable bool
+	// leaving is set if this response, or one to an earlier request that was
+	// passed over, says that the searcher is leaving.
+	leaving bool
 }
 
 // exchange sends a request and reads its response. The end of the context ends
@@ -155,20 +173,25 @@
 // readOwn reads the response to the request, past late ones to earlier
 // requests.
 func (c *connection) readOwn(o outgoing) (received, error) {
+	c.bounds.Begin(maxHead)
+	defer c.bounds.End()
 	if _, err := c.reader.Peek(1); err != nil {
 		return received{}, fmt.Errorf("%w: %w", ErrNothingRead, err)
 	}
+	leaving := false
 	for range maxForeign {
 		r, err := c.read(o.request.Method)
 		if err != nil {
-			return received{}, err
+			return received{leaving: leaving}, err
 		}
+		leaving = leaving || r.response.Header.Get(o.leavingField) != ""
 		id := r.response.Header.Get(o.idField)
 		if id == "" || id == o.id {
+			r.leaving = leaving
 			return r, nil
 		}
 	}
-	return received{}, fmt.Errorf("responses to other requests: %w", ErrGarbled)
+	return received{leaving: leaving}, fmt.Errorf("responses to other requests: %w", ErrGarbled)
 }
 
 // read reads one final response.
@@ -177,14 +200,13 @@
 	if err != nil {
 		return received{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
+	c.bounds.Allow(c.maxBody)
+	body, err := io.ReadAll(response.Body)
 	closeErr := response.Body.Close()
 	if err := stderrors.Join(err, closeErr); err != nil {
 		return received{}, fmt.Errorf("body: %w: %w", ErrGarbled, err)
 	}
-	if len(body) > maxResponse {
-		return received{}, fmt.Errorf("body of over %d bytes: %w", maxResponse, ErrGarbled)
-	}
+	c.bounds.Allow(maxHead)
 	c.kept, c.keeps = true, idleTime(response.Header)
 	c.expires = time.Now().Add(c.keeps)
 	return received{
--- /dev/null
+++ b/io/hysforward/endless_test.go
@@ -0,0 +1,116 @@
+package hysforward_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hystest"
+	"hyssopshore/io/hysforward"
+)
+
+// endlessCase is one case of testdata/endless.json: a searcher that begins a
+// response and then repeats some bytes until the connection is closed.
+type endlessCase struct {
+	Name   string `json:"name"`
+	Begin  string `json:"begin"`
+	Repeat string `json:"repeat"`
+	// PauseMS is the time between two repeats.
+	PauseMS int `json:"pause-ms"`
+}
+
+const (
+	// endlessMemory is what all responses together may hold, endlessHeap what
+	// the heap may grow by: buffers grow by copying, and garbage is collected late.
+	endlessMemory = 8 << 20
+	endlessHeap   = 6 * endlessMemory
+	// endlessSends run at once, each at a searcher of its own.
+	endlessSends = 40
+	endlessTime  = 1500 * time.Millisecond
+)
+
+// serveEndless answers each request without end.
+func serveEndless(c endlessCase) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go c.answer(conn)
+		}
+	}()
+	return listener
+}
+
+func (c endlessCase) answer(conn net.Conn) {
+	defer conn.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+		return
+	}
+	_, err := conn.Write([]byte(c.Begin))
+	block := []byte(c.Repeat)
+	for c.PauseMS == 0 && len(block) < 32<<10 {
+		block = append(block, c.Repeat...)
+	}
+	for err == nil {
+		_, err = conn.Write(block)
+		time.Sleep(time.Duration(c.PauseMS) * time.Millisecond)
+	}
+}
+
+var _ = Describe("a response without end", func() {
+	var cases []endlessCase
+	data, err := os.ReadFile("testdata/endless.json")
+	if err == nil {
+		err = json.Unmarshal(data, &cases)
+	}
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It("is given up within bounds, and other requests go on: "+c.Name, func() {
+			endless := serveEndless(c)
+			defer endless.Close()
+			sound := serve(responseCase{Send: "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Sig: s\r\nContent-Length: 4\r\n\r\nbody"})
+			defer sound.listener.Close()
+			client := hysforward.New(headers, hysforward.WithResponseMemory(endlessMemory))
+			grown := hystest.HeapGrowth()
+			var wait sync.WaitGroup
+			for i := range endlessSends {
+				wait.Go(func() {
+					defer GinkgoRecover()
+					s := hysmember.Searcher{ID: hysmember.SearcherID(fmt.Sprint("e-", i)), Address: hysmember.Address(endless.Addr().String())}
+					sub, started := request(0), time.Now()
+					sub.Deadline = started.Add(endlessTime)
+					ctx, stop := context.WithDeadline(context.Background(), sub.Deadline)
+					defer stop()
+					result := client.Send(ctx, s, sub)
+					Expect(result.Fault.String()).To(BeElementOf("lost", "cancelled"))
+					Expect(result.NotSent).To(BeFalse())
+					Expect(result.Message).To(BeNil())
+					Expect(time.Since(started)).To(BeNumerically("<", endlessTime+500*time.Millisecond))
+				})
+			}
+			for range 5 {
+				Expect(client.Send(context.Background(), sound.searcher(), request(0)).Fault).To(Equal(hysdispatch.FaultNone))
+				time.Sleep(20 * time.Millisecond)
+			}
+			wait.Wait()
+			Expect(grown()).To(BeNumerically("<", uint64(endlessHeap)), "bytes of heap")
+		})
+	}
+})
--- a/io/hysforward/forward_test.go
+++ b/io/hysforward/forward_test.go
@@ -29,6 +29,7 @@
 
 var headers = hysforward.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Sig", Searcher: "X-Searcher", NotRun: "X-Not-Run",
+	Leaving: "X-Leaving",
 }
 
 // responseCase is one case of testdata/responses.json.
@@ -46,6 +47,10 @@
 	Body         string `json:"body"`
 	NotSent      bool   `json:"not-sent"`
 	RetryAfterMS int64  `json:"retry-after-ms"`
+	// Leaving is whether the searcher has said that it is leaving.
+	Leaving bool `json:"leaving"`
+	// Reason is a part of the reason.
+	Reason string `json:"reason"`
 	// Reused connections carry the next request.
 	Reused bool `json:"reused"`
 }
@@ -138,6 +143,8 @@
 			Expect(result.Fault.String()).To(Equal(c.Fault), result.Reason)
 			Expect(result.NotSent).To(Equal(c.NotSent))
 			Expect(result.RetryAfter.Milliseconds()).To(Equal(c.RetryAfterMS))
+			Expect(result.Draining).To(Equal(c.Leaving))
+			Expect(result.Reason).To(ContainSubstring(c.Reason))
 			body := ""
 			if result.Message != nil {
 				body = string(result.Message.Body)
--- a/io/hysforward/send.go
+++ b/io/hysforward/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,9 +15,6 @@
 	"hyssopshore/core/hysmessage"
 )
 
-// maxRetryAfter bounds what a searcher may ask to wait.
-const maxRetryAfter = 30 * time.Second
-
 // Send runs a sub-request on a searcher. The end of the context closes its
 // connection.
 func (c *Client) Send(ctx context.Context, s hysmember.Searcher, sub hysdispatch.SubRequest) hysdispatch.Result {
@@ -57,7 +55,7 @@
 	}
 	id := string(sub.RequestID)
 	r, err := conn.exchange(ctx, outgoing{
-		request: sub.Message, idField: c.headers.RequestID, id: id,
+		request: sub.Message, idField: c.headers.RequestID, id: id, leavingField: c.headers.Leaving,
 		fields: http.Header{
 			c.headers.RequestID: {id},
 			c.headers.Deadline:  {strconv.FormatInt(left, 10)},
@@ -66,9 +64,14 @@
 	})
 	c.release(keyOf(s), conn, err == nil && r.reusable)
 	if err != nil {
-		return lost(ctx, err), fmt.Errorf("exchange with %s: %w", s.ID, err)
+		result := lost(ctx, err)
+		result.Draining = r.leaving
+		return result, fmt.Errorf("exchange with %s: %w", s.ID, err)
 	}
-	return c.result(r.response), nil
+	result := c.result(r.response)
+	// Another searcher at the address says nothing of the one that was meant.
+	result.Draining = r.leaving && result.Fault != hysdispatch.FaultMisdirected
+	return result, nil
 }
 
 func lost(ctx context.Context, err error) hysdispatch.Result {
@@ -89,7 +92,6 @@
 		result.Fault, result.NotSent = hysdispatch.FaultMisdirected, true
 	case unrun:
 		result.Fault, result.NotSent = hysdispatch.FaultShed, true
-		result.RetryAfter = retryAfter(r.Header)
 	case !signed || encoded:
 		result.Fault, result.Reason = hysdispatch.FaultLost, "the response is not the searcher's"
 	case r.Status >= http.StatusInternalServerError:
@@ -97,14 +99,31 @@
 	default:
 		result.Message = r
 	}
+	if unrun || r.Status == http.StatusServiceUnavailable {
+		rest, problem := askedRest(r.Header)
+		result.RetryAfter = rest
+		result.Reason += problem
+	}
 	return result
 }
 
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 {
-		// Without a time in seconds the dispatcher's own pause holds.
-		return 0
+// longestRetryAfter keeps the time that a searcher asks for from overflowing. The
+// dispatcher has a lower bound.
+const longestRetryAfter = 24 * time.Hour
+
+// askedRest is how long a searcher asks to be left alone, and what is wrong with
+// what it says. Without a time in seconds the dispatcher's own pause holds.
+func askedRest(h http.Header) (rest time.Duration, problem string) {
+	value := h.Get("Retry-After")
+	if value == "" {
+		return 0, ""
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(seconds) || seconds < 0 {
+		return 0, fmt.Sprintf(", Retry-After %.40q is no number of seconds", value)
+	}
+	if seconds > longestRetryAfter.Seconds() {
+		return longestRetryAfter, fmt.Sprintf(", Retry-After %.40q is cut", value)
 	}
-	return min(time.Duration(seconds*float64(time.Second)), maxRetryAfter)
+	return time.Duration(seconds * float64(time.Second)), ""
 }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -109,6 +109,9 @@
 	configurationChanged hysmember.Version
 	// cursors are where the news of other daemons go on.
 	cursors map[hysmember.InstanceID]hysrelay.Cursor
+	// told are up to which version of this directory other daemons were told of
+	// the searchers that are leaving.
+	told map[hysmember.InstanceID]hysrelay.Cursor
 	// wholeAt is when another daemon was last to tell everything.
 	wholeAt  time.Time
 	budgetMu sync.Mutex
@@ -132,6 +135,7 @@
 		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
 		assigned: make(map[hysservice.Name]bool),
 		cursors:  make(map[hysmember.InstanceID]hysrelay.Cursor),
+		told:     make(map[hysmember.InstanceID]hysrelay.Cursor),
 		start:    uuid.NewString(),
 		suspects: hysquarantine.NewWatch(time.Now),
 
@@ -142,8 +146,8 @@
 	f.instances.Store(unknownInstances)
 	f.forward = hysforward.New(hysforward.Headers{
 		RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
-		Searcher: headers.Searcher, NotRun: headers.NotRun,
-	}, hysforward.WithConnectionCap(f.connectionCap),
+		Searcher: headers.Searcher, NotRun: headers.NotRun, Leaving: headers.Leaving,
+	}, hysforward.WithConnectionCap(f.connectionCap), hysforward.WithResponseMemory(s.responseMemory()),
 		hysforward.WithDown(func(s hysmember.Searcher) { f.searcherDown(s.ID) }))
 	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percent: hedgePercent, Unknown: unknownDelay, Reserve: hedgeReserve}),
--- /dev/null
+++ b/io/hysfront/leaver_test.go
@@ -0,0 +1,131 @@
+package hysfront_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysservice"
+	"hyssopshore/io/hysfront"
+)
+
+// leavingSearcher is a searcher that says that it is leaving in what it answers.
+type leavingSearcher struct {
+	entry    hysmember.Entry
+	requests atomic.Int64
+	// status is that of its answers, slow is how long they take.
+	status int
+	slow   time.Duration
+}
+
+func newLeavingSearcher(id hysmember.SearcherID, service hysservice.Name) *leavingSearcher {
+	s := &leavingSearcher{status: http.StatusOK}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		time.Sleep(s.slow)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Sig", "s")
+		w.Header().Set("X-Leaving", "1")
+		w.WriteHeader(s.status)
+		_, _ = io.WriteString(w, string(id)+"0123456789abcdef")
+	}))
+	DeferCleanup(server.Close)
+	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
+	s.entry = hysmember.Entry{
+		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 2, Born: 10, Revision: 1,
+	}
+	return s
+}
+
+// relist lists a searcher as ready, again and again, with ever newer reports.
+func relist(s *store, e hysmember.Entry, count int) {
+	s.set(func() {
+		var updates []hysfront.Update
+		for range count {
+			s.revision++
+			e.Revision, e.Sequence = s.revision, int64(s.revision)
+			updates = append(updates, hysfront.Update{ID: e.Searcher.ID, Entry: e, Revision: e.Revision})
+		}
+		s.changes = append(s.changes, hysfront.Changes{Revision: s.revision, Events: count, Updates: updates})
+	})
+}
+
+var _ = Describe("a searcher that says in its answers that it is leaving", func() {
+	It("gets no new requests though the list says otherwise, until it has started anew", func() {
+		leaver := newLeavingSearcher("s-1", "roll")
+		s := &store{version: 1, revision: 5, entries: hysmember.Entries{leaver.entry}}
+		d := start(s, "127.0.0.21")
+		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		status, _ := d.ask()
+		Expect(status).To(Equal(http.StatusOK), "the answer is passed on")
+		Eventually(d.log.String, "1s").Should(ContainSubstring("searcher says that it is leaving"))
+		relist(s, leaver.entry, 3)
+		for range 10 {
+			status, _ := d.ask()
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			time.Sleep(50 * time.Millisecond)
+		}
+		Expect(leaver.requests.Load()).To(BeEquivalentTo(1))
+		anew := leaver.entry
+		anew.Born = 20
+		relist(s, anew, 1)
+		Eventually(func() int { status, _ := d.ask(); return status }, "3s").Should(Equal(http.StatusOK))
+	})
+
+	It("is known as leaving by a failure, by an answer in a part and by one that lost a hedge", func() {
+		failing, part, late := newLeavingSearcher("s-1", "roll"), newLeavingSearcher("s-2", "desk"), newLeavingSearcher("s-3", "ledger")
+		failing.status, late.slow = http.StatusInternalServerError, 200*time.Millisecond
+		sound, other := searcher("s-4", 0), searcher("s-5", 0)
+		sound.Searcher.Service, other.Searcher.Service = "ledger", "desk"
+		// The others are far, so that the leaving ones are asked first.
+		sound.Searcher.Zone, other.Searcher.Zone = "far", "far"
+		s := &store{
+			version: 1, revision: 5, shards: []hysservice.Name{"desk", "ledger"},
+			entries: hysmember.Entries{failing.entry, part.entry, late.entry, sound, other},
+		}
+		d := start(s, "127.0.0.22")
+		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		d.ask()
+		asked := func() string {
+			d.askFor("/query/1")
+			return d.log.String()
+		}
+		for _, id := range []string{"s-1", "s-2", "s-3"} {
+			Eventually(asked, "3s").Should(ContainSubstring(`"msg":"searcher says that it is leaving","instance":"entry-127.0.0.22","searcher":"` + id))
+		}
+	})
+
+	It("is known as leaving to the daemons of the zone, from a follower to the reader and back", func() {
+		leaver := newLeavingSearcher("s-1", "roll")
+		one, other, third := newDaemon("127.0.0.23"), newDaemon("127.0.0.24"), newDaemon("127.0.0.25")
+		all := hysmember.Instances{one.instance(), other.instance(), third.instance()}
+		var readers, followers []*daemon
+		for _, d := range []*daemon{one, other, third} {
+			if _, follows := all.Reader(d.settings.Instance); follows {
+				followers = append(followers, d)
+				continue
+			}
+			readers = append(readers, d)
+		}
+		for _, d := range append(readers, followers...) {
+			d.start(&store{version: 1, revision: 5, entries: hysmember.Entries{leaver.entry}, peers: all})
+			Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		}
+		for _, d := range followers {
+			Eventually(d.log.String, "4s").Should(ContainSubstring("reader followed"))
+		}
+		status, _ := followers[0].ask()
+		Expect(status).To(Equal(http.StatusOK))
+		for _, d := range []*daemon{one, other, third} {
+			Eventually(func() int { status, _ := d.ask(); return status }, "3s").Should(Equal(http.StatusServiceUnavailable))
+		}
+		Expect(leaver.requests.Load()).To(BeNumerically("<", 40))
+	})
+})
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -71,13 +71,16 @@
 			Reason: "the request crashed searchers and is quarantined",
 		}
 	}
-	started := time.Now()
+	started, born := time.Now(), f.directory.Born(s.ID)
 	result := f.forward.Send(ctx, s, sub)
 	f.judge(s, sub, result)
+	if result.Draining {
+		f.noteLeaver(hysmember.Leaver{ID: s.ID, Born: born}, sub.RequestID)
+	}
 	f.metrics.ObserveSend(string(sub.Service), result.Fault.String(), time.Since(started))
 	if result.Fault != hysdispatch.FaultNone {
 		f.log.Info("send "+result.Fault.String(), "id", sub.RequestID, "service", sub.Service, "searcher", s.ID,
-			"address", s.Address, "not-run", result.NotSent, "reason", result.Reason, "ms", time.Since(started).Milliseconds())
+			"address", s.Address, "not-run", result.NotSent, "reason", result.Reason, "retry-after-ms", result.RetryAfter.Milliseconds(), "ms", time.Since(started).Milliseconds())
 	}
 	return result
 }
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -87,20 +87,35 @@
 // askInstance takes over what another daemon has learned since it was last
 // asked, unless that is too old. It returns how old it is.
 func (f *Front) askInstance(ctx context.Context, i hysmember.Instance, wait, maxAge time.Duration) (time.Duration, error) {
-	n, err := f.relayed.Follow(ctx, i.Address, f.cursor(i.ID), wait)
+	told := f.directory.Version()
+	n, err := f.relayed.Follow(ctx, i.Address, f.question(i.ID, wait))
 	if err != nil {
 		return 0, fmt.Errorf("ask %s: %w", i.ID, err)
 	}
 	if n.Revision == 0 || n.Age > maxAge {
 		return 0, fmt.Errorf("ask %s, served %s ago: %w", i.ID, n.Age, errNotFresh)
 	}
+	f.noteTold(i.ID, n.Cursor.Source, told)
 	return n.Age, f.adopt(i.ID, n)
 }
 
-func (f *Front) cursor(id hysmember.InstanceID) hysrelay.Cursor {
+// question asks a daemon for what this one has not heard of it yet, and tells it
+// of the searchers that are leaving.
+func (f *Front) question(id hysmember.InstanceID, wait time.Duration) hysrelay.Question {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cursors[id]
+	return hysrelay.Question{Since: f.cursors[id], Wait: wait, Leavers: f.directory.LeaversSince(f.told[id].Version)}
+}
+
+// noteTold notes up to which version a daemon knows what this one has told it.
+// One that has started anew knows nothing of it.
+func (f *Front) noteTold(id hysmember.InstanceID, source string, version hysmember.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known := f.told[id]; known.Source != source && known.Source != "" {
+		version = 0
+	}
+	f.told[id] = hysrelay.Cursor{Source: source, Version: version}
 }
 
 // adopt takes the news of another daemon over.
@@ -144,11 +159,13 @@
 }
 
 // tell answers another daemon, as soon as there is news for it.
-func (f *Front) tell(ctx context.Context, since hysrelay.Cursor, wait time.Duration) hysrelay.News {
+func (f *Front) tell(ctx context.Context, q hysrelay.Question) hysrelay.News {
+	f.noteChanges(f.directory.LeaveAll(q.Leavers))
+	since := q.Since
 	if since.Source != f.start {
 		since = hysrelay.Cursor{}
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	select {
 	case <-f.directory.Changed(since.Version):
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -19,6 +19,8 @@
 	defaultRetryShare = 0.1
 	defaultRetrySlack = 10
 	defaultMinLease   = time.Second
+	// defaultResponseMemory is that of an instance without a limit, in bytes.
+	defaultResponseMemory = 64 << 20
 	// defaultChangeWithin is the shortest bound that deployments are known to have.
 	defaultChangeWithin = 3 * time.Second
 )
@@ -97,5 +99,17 @@
 	return nil
 }
 
+// responsePart is the part of the memory that the responses which are being read
+// may hold; their buffers may take twice as much while they grow.
+const responsePart = 0.125
+
+// responseMemory is what those responses may hold, in bytes.
+func (s *Settings) responseMemory() int64 {
+	if s.MemoryBytes == 0 {
+		return defaultResponseMemory
+	}
+	return int64(responsePart * float64(s.MemoryBytes))
+}
+
 // changeWithin is how soon any change in the store must be in force.
 func (s *Settings) changeWithin() time.Duration { return min(s.ApplyWithin, s.DrainWithin) }
--- a/io/hysfront/take.go
+++ b/io/hysfront/take.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquery"
 )
 
 // configure puts a configuration in force unless a newer one is. It reports
@@ -69,6 +70,16 @@
 	return f.directory.Put(u.Entry)
 }
 
+// noteLeaver notes that a searcher has said in a response that it is leaving.
+func (f *Front) noteLeaver(l hysmember.Leaver, id hysquery.RequestID) {
+	change, ok := f.directory.Leave(l)
+	if !ok {
+		return
+	}
+	f.log.Info("searcher says that it is leaving", "searcher", l.ID, "born", l.Born, "id", id)
+	f.noteChanges([]hysmember.Change{change})
+}
+
 func (f *Front) noteChanges(changes []hysmember.Change) {
 	if len(changes) == 0 {
 		return
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -56,6 +56,8 @@
 	Searcher string
 	// NotRun says that a searcher has not run a request.
 	NotRun string
+	// Leaving says in any response of a searcher that it is leaving.
+	Leaving string
 	// Signatures are those of the parts of an answer, Missing is how many parts
 	// it lacks.
 	Signatures string
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -6,7 +6,7 @@
 //
 //	http.Serve(listener, hysrelay.NewHandler(tell))
 //	c := hysrelay.NewClient()
-//	n, err := c.Follow(ctx, "10.1.0.4:7740", cursor, time.Second)
+//	n, err := c.Follow(ctx, "10.1.0.4:7740", hysrelay.Question{Since: cursor, Wait: time.Second})
 //	cursor = n.Cursor
 package hysrelay
 
@@ -62,8 +62,18 @@
 	Suspects hysquarantine.Records
 }
 
-// TellFunc waits for news since a cursor, and returns what there is in the end.
-type TellFunc func(ctx context.Context, since Cursor, wait time.Duration) News
+// Question is what a daemon asks another one.
+type Question struct {
+	Since Cursor
+	// Wait is how long to wait for news.
+	Wait time.Duration
+	// Leavers are the searchers that have told the asking daemon that they are
+	// leaving.
+	Leavers hysmember.Leavers
+}
+
+// TellFunc waits for news, and returns what there is in the end.
+type TellFunc func(context.Context, Question) News
 
 type server struct {
 	tell TellFunc
@@ -78,9 +88,12 @@
 
 // Follow answers another daemon.
 func (s *server) Follow(ctx context.Context, r *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error) {
-	since := Cursor{Source: r.Msg.Source, Version: hysmember.Version(r.Msg.Version)}
-	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait)
-	return connect.NewResponse(encode(s.tell(ctx, since, wait))), nil
+	q := Question{
+		Since:   Cursor{Source: r.Msg.Source, Version: hysmember.Version(r.Msg.Version)},
+		Wait:    min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait),
+		Leavers: decodeLeavers(r.Msg.Leavers),
+	}
+	return connect.NewResponse(encode(s.tell(ctx, q))), nil
 }
 
 // Client asks other daemons. It is safe for concurrent use.
@@ -95,12 +108,13 @@
 }
 
 // Follow asks a daemon for its news since a cursor, and waits for some.
-func (c *Client) Follow(ctx context.Context, address hysmember.Address, since Cursor, wait time.Duration) (News, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+func (c *Client) Follow(ctx context.Context, address hysmember.Address, q Question) (News, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
 	defer cancel()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
 	r, err := service.Follow(ctx, connect.NewRequest(&front.FollowRequest{
-		Source: since.Source, Version: uint64(since.Version), WaitMs: wait.Milliseconds(),
+		Source: q.Since.Source, Version: uint64(q.Since.Version), WaitMs: q.Wait.Milliseconds(),
+		Leavers: encodeLeavers(q.Leavers),
 	}))
 	if err != nil {
 		return News{}, fmt.Errorf("Client.Follow: %s: %w", address, err)
@@ -133,10 +147,27 @@
 			Id: string(i.ID), Address: string(i.Address), Zone: string(i.Zone), Region: string(i.Region),
 		})
 	}
+	r.Leavers = encodeLeavers(n.Searchers.Leavers)
 	r.Suspects = hyswire.EncodeSuspects(n.Suspects)
 	return r
 }
 
+func encodeLeavers(leavers hysmember.Leavers) []*front.Leaver {
+	messages := make([]*front.Leaver, 0, len(leavers))
+	for _, l := range leavers {
+		messages = append(messages, &front.Leaver{Id: string(l.ID), Born: l.Born})
+	}
+	return messages
+}
+
+func decodeLeavers(messages []*front.Leaver) hysmember.Leavers {
+	leavers := make(hysmember.Leavers, 0, len(messages))
+	for _, m := range messages {
+		leavers = append(leavers, hysmember.Leaver{ID: hysmember.SearcherID(m.Id), Born: m.Born})
+	}
+	return leavers
+}
+
 func decode(r *front.FollowReply) News {
 	version := hysmember.Version(r.Version)
 	n := News{
@@ -163,6 +194,7 @@
 			Zone: hysmember.Zone(i.Zone), Region: hysmember.Region(i.Region),
 		})
 	}
+	n.Searchers.Leavers = decodeLeavers(r.Leavers)
 	n.Suspects = hyswire.DecodeSuspects(r.Suspects)
 	return n
 }
--- a/io/hysrelay/relay_test.go
+++ b/io/hysrelay/relay_test.go
@@ -44,7 +44,8 @@
 					Searcher: hysmember.Searcher{ID: "s-1", Service: "roll", Address: "10.0.0.1:80", Zone: "z", Leaving: true},
 					Slots:    3, Born: 4, Sequence: 5, Revision: 6,
 				}},
-				Gone: []hysmember.Gone{{ID: "s-2", Revision: 8}},
+				Gone:    []hysmember.Gone{{ID: "s-2", Revision: 8}},
+				Leavers: hysmember.Leavers{{ID: "s-3", Born: 12}},
 			},
 			Instances: hysmember.Instances{{ID: "i-1", Address: "10.0.0.2:90", Zone: "z", Region: "r"}},
 			Suspects: hysquarantine.Records{{
@@ -54,25 +55,28 @@
 				Expires: time.Unix(9000, 0),
 			}},
 		}
-		var since hysrelay.Cursor
-		address := serve(func(_ context.Context, s hysrelay.Cursor, wait time.Duration) hysrelay.News {
-			since = s
-			Expect(wait).To(Equal(40 * time.Millisecond))
+		var asked hysrelay.Question
+		address := serve(func(_ context.Context, q hysrelay.Question) hysrelay.News {
+			asked = q
 			return told
 		})
-		n, err := client.Follow(ctx, address, hysrelay.Cursor{Source: "start-1", Version: 3}, 40*time.Millisecond)
+		question := hysrelay.Question{
+			Since: hysrelay.Cursor{Source: "start-1", Version: 3}, Wait: 40 * time.Millisecond,
+			Leavers: hysmember.Leavers{{ID: "s-4", Born: 13}},
+		}
+		n, err := client.Follow(ctx, address, question)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(n).To(Equal(told))
-		Expect(since).To(Equal(hysrelay.Cursor{Source: "start-1", Version: 3}))
+		Expect(asked).To(Equal(question))
 	})
 
 	It("are not waited for longer than a bound of the daemon that tells", func(ctx SpecContext) {
 		var waited time.Duration
-		address := serve(func(_ context.Context, _ hysrelay.Cursor, wait time.Duration) hysrelay.News {
-			waited = wait
+		address := serve(func(_ context.Context, q hysrelay.Question) hysrelay.News {
+			waited = q.Wait
 			return hysrelay.News{}
 		})
-		_, err := client.Follow(ctx, address, hysrelay.Cursor{}, time.Hour)
+		_, err := client.Follow(ctx, address, hysrelay.Question{Wait: time.Hour})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(waited).To(BeNumerically("<", time.Minute))
 	})
@@ -80,13 +84,13 @@
 	It("are given up soon after the wait if the daemon hangs", func(ctx SpecContext) {
 		// The end of the call is told to the daemon, which must not answer then.
 		hang := make(chan struct{})
-		address := serve(func(context.Context, hysrelay.Cursor, time.Duration) hysrelay.News {
+		address := serve(func(context.Context, hysrelay.Question) hysrelay.News {
 			<-hang
 			return hysrelay.News{}
 		})
 		DeferCleanup(func() { close(hang) })
 		began := time.Now()
-		_, err := client.Follow(ctx, address, hysrelay.Cursor{}, 100*time.Millisecond)
+		_, err := client.Follow(ctx, address, hysrelay.Question{Wait: 100 * time.Millisecond})
 		Expect(err).To(HaveOccurred())
 		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
 	})
--- a/io/hyssearch/client.go
+++ b/io/hyssearch/client.go
@@ -33,7 +33,9 @@
 	mu       sync.Mutex
 	cap      int
 	attempts atomic.Uint64
-	pools    map[hysmember.Address]*pool
+	// memory is for the replies that are read.
+	memory *hysconn.Memory
+	pools  map[hysmember.Address]*pool
 }
 
 type pool struct {
@@ -51,7 +53,7 @@
 
 // New returns a client without connections.
 func New(options ...Option) *Client {
-	c := &Client{cap: defaultConnectCap, pools: make(map[hysmember.Address]*pool)}
+	c := &Client{cap: defaultConnectCap, memory: hysconn.NewMemory(replyMemory), pools: make(map[hysmember.Address]*pool)}
 	for _, o := range options {
 		o(c)
 	}
@@ -165,7 +167,7 @@
 	if !c.reserve(address) {
 		return nil, fmt.Errorf("connect: %d connections to %s are open: %w", c.cap, address, ErrConnectionCap)
 	}
-	conn, err := dial(ctx, address)
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		c.forget(address)
 		return nil, fmt.Errorf("connect: %w", err)
--- a/io/hyssearch/connection.go
+++ b/io/hyssearch/connection.go
@@ -12,10 +12,16 @@
 	"time"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hysconn"
 )
 
-// maxReply is the largest reply that is read, in bytes.
-const maxReply = 8 << 20
+// Limits of a reply, in bytes.
+const (
+	maxHead  = 64 << 10
+	maxReply = 8 << 20
+	// replyMemory is what the replies that are read may hold together.
+	replyMemory = 64 << 20
+)
 
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = 500 * time.Millisecond
@@ -23,18 +29,21 @@
 // connection carries one request at a time to a searcher.
 type connection struct {
 	net.Conn
+	// bounds limits what reader reads.
+	bounds   *hysconn.Reader
 	reader   *bufio.Reader
 	used     bool
 	lastUsed time.Time
 }
 
-func dial(ctx context.Context, address hysmember.Address) (*connection, error) {
+func (c *Client) dial(ctx context.Context, address hysmember.Address) (*connection, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	c, err := d.DialContext(ctx, "tcp", string(address))
+	conn, err := d.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
+	bounds := hysconn.NewReader(conn, c.memory)
+	return &connection{Conn: conn, bounds: bounds, reader: bufio.NewReader(bounds)}, nil
 }
 
 // exchange sends one request and reads its reply. Bytes may have left once it
@@ -45,12 +54,15 @@
 	if err := c.write(path, body); err != nil {
 		return fmt.Errorf("write %s: %w", path, err)
 	}
+	c.bounds.Begin(maxHead)
+	defer c.bounds.End()
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return fmt.Errorf("read reply to %s: %w", path, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	c.bounds.Allow(maxReply)
+	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return fmt.Errorf("read body of %s: %w", path, err)
 	}
