Catch up with a store that has more to tell, and know the age of what is known

It went on from revision 302 though other daemons had told it up to 2,548; the store tells about 500 changes at once, and at 230 heartbeats a second and a pause of 2 s after each such answer it needed 9 s to catch up. It counted as fresh all the while, since the age was that of the last answer: its followers came back to it, too. Ruled out: a watch that is not woken (each was answered at once), a configuration held back by the relay.

Now a watch that is answered in full is followed by the next at once, a daemon goes on from what it has been told by others, the age of the news is that of the last answer that held nothing back, and one that lags asks other daemons.

Both new specs fail without the first of these.

--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -18,6 +18,8 @@
 	maxPace   = 2 * time.Second
 	// pace is the least time between watches.
 	pace = 200 * time.Millisecond
+	// catchUpPause is that of a daemon that lags behind the store.
+	catchUpPause = 10 * time.Millisecond
 	// minErrorPause and maxErrorPause bound the time between calls that fail.
 	minErrorPause = 200 * time.Millisecond
 	maxErrorPause = time.Second
@@ -80,7 +82,7 @@
 	if !ok || p.after == 0 || time.Now().Before(p.ownUntil) {
 		return false
 	}
-	age, err := f.askInstance(ctx, reader, followWait, f.readPace()+followSlack)
+	age, err := f.askInstance(ctx, reader, followWait, f.longestAge())
 	if err != nil {
 		p.ownUntil = time.Now().Add(ownReadTime)
 		if ctx.Err() == nil {
@@ -90,9 +92,9 @@
 	}
 	f.storeServed(age)
 	if !f.following.Load() {
-		f.log.Info("reader followed", "reader", reader.ID, "revision", f.revision.Load())
+		f.log.Info("reader followed", "reader", reader.ID, "revision", f.knowledge.upTo(), "age-ms", age.Milliseconds())
 	}
-	p.after, p.failures = max(p.after, hysmember.Revision(f.revision.Load())), 0
+	p.after, p.failures = max(p.after, f.knowledge.upTo()), 0
 	return true
 }
 
@@ -109,13 +111,21 @@
 	return min(time.Duration(readShare*float64(f.settings.changeWithin())), maxPace)
 }
 
+// longestAge is how old the knowledge of a daemon is at most that reads the store
+// and keeps up with it.
+func (f *Front) longestAge() time.Duration { return f.readPace() + followSlack }
+
 // followStore reads from the store what it has not told yet.
 func (f *Front) followStore(ctx context.Context, p *progress) time.Duration {
+	if p.after > 0 {
+		// Another daemon may have told what the store has not.
+		p.after = max(p.after, f.knowledge.upTo())
+	}
 	next, rest, err := f.followOnce(ctx, p.after)
 	switch {
 	case err == nil:
 		p.after, p.failures = next, 0
-		f.raiseRevision(next)
+		f.knowledge.raise(next)
 	case errors.Is(err, ErrHistoryGone):
 		f.log.Info("history gone, reading everything again", "after", p.after)
 		p.after = 0
@@ -127,25 +137,17 @@
 	return rest
 }
 
-// raiseRevision notes up to which revision this daemon knows everything.
-func (f *Front) raiseRevision(revision hysmember.Revision) {
-	for {
-		known := f.revision.Load()
-		if known >= int64(revision) || f.revision.CompareAndSwap(known, int64(revision)) {
-			return
-		}
-	}
-}
-
 // followOnce reads everything, or what has changed after a revision. It returns
 // where the next call goes on and how long it may wait.
 func (f *Front) followOnce(ctx context.Context, after hysmember.Revision) (hysmember.Revision, time.Duration, error) {
 	if after == 0 {
+		began := time.Now()
 		s, err := f.source.Read(ctx)
 		if err != nil {
 			return 0, 0, fmt.Errorf("read everything: %w", err)
 		}
 		f.take(s)
+		f.knowledge.complete(began)
 		return s.Began, 0, nil
 	}
 	c, err := f.source.Watch(ctx, after, f.readPace())
@@ -157,9 +159,18 @@
 		return 0, 0, fmt.Errorf("watch after %d heard nothing up to %d: %w", after, c.Revision, ErrHistoryGone)
 	}
 	changed := f.update(c)
-	rest := pace
+	return max(after, c.Revision), f.rest(c, changed), nil
+}
+
+// rest is the time until the next watch after one that told changes, some of
+// which mattered.
+func (f *Front) rest(c Changes, changed bool) time.Duration {
+	if c.More {
+		return catchUpPause
+	}
+	f.knowledge.complete(time.Now())
 	if c.Events > 0 && !changed {
-		rest = f.readPace()
+		return f.readPace()
 	}
-	return max(after, c.Revision), rest, nil
+	return pace
 }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -83,10 +83,9 @@
 	following atomic.Bool
 	// start tells the starts of this daemon apart.
 	start string
-	// newest is the configuration in force, revision that of the store up to
-	// which this daemon knows everything.
-	newest   atomic.Pointer[Configured]
-	revision atomic.Int64
+	// newest is the configuration in force.
+	newest    atomic.Pointer[Configured]
+	knowledge knowledge
 
 	// Lock order: configureMu, then mu, then the dispatcher's locks, then
 	// budgetMu. configureMu is held while a configuration is taken over, which
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -38,8 +38,10 @@
 
 // store is a scripted store.
 type store struct {
-	mu       sync.Mutex
-	away     bool
+	mu   sync.Mutex
+	away bool
+	// backlog makes the store tell more heartbeats than can be read.
+	backlog  bool
 	reads    int
 	watches  int
 	version  hysroute.Version
@@ -95,6 +97,9 @@
 				return hysfront.Changes{}, errAway
 			}
 			s.watches++
+			if s.backlog {
+				return hysfront.Changes{Revision: after + 1, Events: 500, More: true}, nil
+			}
 			if len(s.changes) == 0 {
 				return hysfront.Changes{Revision: after}, nil
 			}
@@ -313,6 +318,19 @@
 		Eventually(d.log.String, "2s").Should(ContainSubstring(`"version":6`))
 	})
 
+	It("catches up at once with a store that has more to tell than it tells at once", func() {
+		d := start(s, "127.0.0.26")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		newer := &store{version: 8, revision: 6000}
+		s.set(func() {
+			for revision := hysmember.Revision(500); revision < 6000; revision += 500 {
+				s.changes = append(s.changes, hysfront.Changes{Revision: revision, Events: 500, More: true})
+			}
+			s.changes = append(s.changes, hysfront.Changes{Configured: newer.configuration(), Revision: 6000, Events: 1})
+		})
+		Eventually(d.log.String, d.settings.ApplyWithin).Should(ContainSubstring(`"version":8`))
+	})
+
 	It("takes the view of another daemon while the store turns it away", func() {
 		served := start(s, "127.0.0.5")
 		Eventually(served.ready, "2s").Should(Equal(http.StatusOK))
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -28,7 +28,7 @@
 			}
 		}
 		f.metrics.Set(hysmetrics.Gauges{
-			Ready: f.ready(), Leaving: f.leaving.Load(), StoreAge: f.store.age(),
+			Ready: f.ready(), Leaving: f.leaving.Load(), StoreAge: f.store.age(), KnowledgeAge: f.knowledge.age(),
 			MembersListed: len(entries), MembersUsable: usable,
 			Instances: f.instances.Load(), DroppedLines: f.droppedLines(),
 		})
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -72,6 +72,17 @@
 		Expect(follower.ready()).To(Equal(http.StatusOK))
 	})
 
+	It("reads the store itself while the other one lags behind it", func() {
+		startBoth("127.0.0.27", "127.0.0.28")
+		readerStore.set(func() { readerStore.backlog = true })
+		next := &store{version: 9, revision: 5000}
+		followerStore.set(func() {
+			followerStore.changes = []hysfront.Changes{{Configured: next.configuration(), Revision: 5000, Events: 1}}
+		})
+		Eventually(follower.log.String, "3s").Should(ContainSubstring(`"version":9`))
+		Eventually(reader.log.String, "3s").Should(ContainSubstring(`"version":9`), "the reader learns it from the follower")
+	})
+
 	It("reads the store itself while the store does not serve the other one", func() {
 		startBoth("127.0.0.15", "127.0.0.16")
 		readerStore.set(func() { readerStore.away = true })
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -36,8 +36,7 @@
 // relay asks other daemons for what the store does not tell this one.
 func (f *Front) relay(ctx context.Context) {
 	for ; ctx.Err() == nil; sleep(ctx, f.relayPause()) {
-		// A daemon that has just started does not wait for a store that hangs.
-		if !f.store.isLost() && f.listed.Load() {
+		if !f.needsOthers() {
 			continue
 		}
 		err := f.askOthers(ctx)
@@ -52,6 +51,13 @@
 	}
 }
 
+// needsOthers reports whether other daemons are asked: the store does not serve
+// this one, or this one lags behind it. A daemon that has just started does not
+// wait for a store that hangs.
+func (f *Front) needsOthers() bool {
+	return f.store.isLost() || !f.listed.Load() || f.knowledge.age() > f.longestAge()
+}
+
 // relayPause is the time until others are asked again.
 func (f *Front) relayPause() time.Duration {
 	if f.configuration() == nil {
@@ -66,7 +72,7 @@
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	last := fmt.Errorf("askOthers: %w", errNobody)
 	for _, i := range peers[:min(len(peers), askedInstances)] {
-		if _, err := f.askInstance(ctx, i, 0, maxNewsAge); err != nil {
+		if _, err := f.askInstance(ctx, i, 0, min(maxNewsAge, f.knowledge.age())); err != nil {
 			last = fmt.Errorf("askOthers: %w", err)
 			continue
 		}
@@ -139,7 +145,8 @@
 		f.noteInstances(n.Instances)
 	}
 	f.mergeSuspects(n.Suspects)
-	f.raiseRevision(n.Revision)
+	f.knowledge.raise(n.Revision)
+	f.knowledge.complete(time.Now().Add(-n.Age))
 	f.advance(from, n)
 	return nil
 }
@@ -181,7 +188,7 @@
 		return hysrelay.News{}
 	}
 	// The age is taken first: what comes meanwhile only makes it too high.
-	n := hysrelay.News{Age: f.store.age(), Revision: hysmember.Revision(f.revision.Load())}
+	n := hysrelay.News{Age: f.knowledge.age(), Revision: f.knowledge.upTo()}
 	n.Searchers = f.directory.Since(since)
 	n.Cursor = hysrelay.Cursor{Source: f.start, Version: n.Searchers.Version}
 	f.mu.Lock()
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -65,6 +65,9 @@
 	Revision hysmember.Revision
 	// Events counts the changes of all keys, of whatever kind.
 	Events int
+	// More is set if the store may have had more changes to tell than it tells at
+	// once.
+	More bool
 }
 
 // Shared is what the daemons have written to the store for each other.
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -62,9 +62,11 @@
 
 // Gauges are values of the daemon as a whole.
 type Gauges struct {
-	Ready          bool
-	Leaving        bool
-	StoreAge       time.Duration
+	Ready    bool
+	Leaving  bool
+	StoreAge time.Duration
+	// KnowledgeAge is how long ago nothing of the store was unknown.
+	KnowledgeAge   time.Duration
 	NewestTicket   uint64
 	MembersListed  int
 	MembersUsable  int
@@ -182,6 +184,7 @@
 	m.scope.Gauge("ready").Update(number(g.Ready))
 	m.scope.Gauge("leaving").Update(number(g.Leaving))
 	m.scope.Gauge("store_age_seconds").Update(g.StoreAge.Seconds())
+	m.scope.Gauge("knowledge_age_seconds").Update(g.KnowledgeAge.Seconds())
 	m.scope.Gauge("newest_ticket").Update(float64(g.NewestTicket))
 	m.scope.Gauge("members_listed").Update(float64(g.MembersListed))
 	m.scope.Gauge("members_usable").Update(float64(g.MembersUsable))
