Few daemons gather the queries of their region, and daemons start through a reader

And each daemon made five calls to read the whole store at its start.

Now hysmember.Gatherers names, from the list alone, the strongest daemons of a region in the zones of the searchers; with eight members or fewer each gathers for itself. A daemon hands a whole query to one of them (hysrelay.Gather): it must accept within 20 ms, is probed at 0.6 of the goal, and declines with a time to come back when it stops, is full or has an older configuration. Attempts count over both hops: one that may have begun leaves one attempt less, one that had accepted and is lost gets its caller a final answer at once. A daemon that starts asks its reader first; on the first start of the whole system followers wait for it. One reader serves 32 (16 before; the table of readers is as strict for the new number). A daemon without the store asks the same neighbour again instead of random ones, which told it everything each time.

--- /dev/null
+++ b/core/hysmember/gatherer_test.go
@@ -0,0 +1,93 @@
+package hysmember_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+)
+
+// gathererCase is one fleet of testdata/gatherers.json.
+type gathererCase struct {
+	Name  string          `json:"name"`
+	Zones []gathererZone  `json:"zones"`
+	Want  gathererCounted `json:"want"`
+}
+
+// gathererZone is a zone with some strong and some weak instances, and the
+// searchers that it holds.
+type gathererZone struct {
+	Zone        hysmember.Zone   `json:"zone"`
+	Region      hysmember.Region `json:"region"`
+	Strong      int              `json:"strong"`
+	Weak        int              `json:"weak"`
+	StrongShare float64          `json:"strong-share"`
+	WeakShare   float64          `json:"weak-share"`
+	Held        int              `json:"held"`
+}
+
+// gathererCounted is how many gather in a region, and which zones they are in.
+type gathererCounted struct {
+	First   int              `json:"first"`
+	Reserve int              `json:"reserve"`
+	Zones   []hysmember.Zone `json:"zones"`
+}
+
+func (c gathererCase) fleet() (hysmember.Instances, map[hysmember.Zone]int) {
+	var all hysmember.Instances
+	held := make(map[hysmember.Zone]int)
+	for _, z := range c.Zones {
+		held[z.Zone] = z.Held
+		for n := range z.Strong + z.Weak {
+			share := z.WeakShare
+			if n < z.Strong {
+				share = z.StrongShare
+			}
+			all = append(all, hysmember.Instance{
+				ID: hysmember.InstanceID(fmt.Sprint(z.Zone, "-", n)), Address: "10.0.0.1:1", Zone: z.Zone, Region: z.Region, ProcessorShare: share,
+			})
+		}
+	}
+	return all, held
+}
+
+var _ = Describe("who gathers", func() {
+	var cases []gathererCase
+	data, err := os.ReadFile("testdata/gatherers.json")
+	if err == nil {
+		err = json.Unmarshal(data, &cases)
+	}
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range cases {
+		It("is as wanted: "+c.Name, func() {
+			all, held := c.fleet()
+			g := all.Gatherers("r", held)
+			Expect(g.First).To(HaveLen(c.Want.First))
+			Expect(g.Reserve).To(HaveLen(c.Want.Reserve))
+			for _, i := range g.First {
+				Expect(c.Want.Zones).To(ContainElement(i.Zone))
+			}
+		})
+	}
+
+	It("changes little when one instance goes", func() {
+		c := gathererCase{Zones: []gathererZone{{Zone: "a", Region: "r", Weak: 40, WeakShare: 0.2, Held: 9}}}
+		all, held := c.fleet()
+		before := all.Gatherers("r", held).First
+		lost := before[0].ID
+		var left hysmember.Instances
+		for _, i := range all {
+			if i.ID != lost {
+				left = append(left, i)
+			}
+		}
+		after := left.Gatherers("r", held).First
+		Expect(after).To(ContainElements(before[1:]))
+	})
+})
--- a/core/hysmember/member.go
+++ b/core/hysmember/member.go
@@ -39,6 +39,8 @@
 	Region  Region     `json:"region"`
 	// Leaving instances get no new work.
 	Leaving bool `json:"leaving"`
+	// ProcessorShare is what the instance has of a processor core.
+	ProcessorShare float64 `json:"processor-share,omitempty"`
 }
 
 // Searcher is one backend server.
--- a/core/hysmember/nearest.go
+++ b/core/hysmember/nearest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,3 +26,26 @@
 		)
 	}), true
 }
+
+// ByDistance returns the instances in the order in which one of an availability
+// zone asks them for news: the one that told the last ones, so that it need not
+// tell everything again, then those of the zone and of the region. Those that are
+// equally far come in a random order.
+func (m Instances) ByDistance(zone Zone, region Region, last InstanceID) Instances {
+	rank := func(i Instance) int {
+		switch {
+		case i.ID == last:
+			return 0
+		case i.Zone == zone:
+			return 1
+		case i.Region == region:
+			return 2
+		default:
+			return 3
+		}
+	}
+	order := slices.Clone(m)
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	slices.SortStableFunc(order, func(a, b Instance) int { return cmp.Compare(rank(a), rank(b)) })
+	return order
+}
--- a/core/hysmember/reader.go
+++ b/core/hysmember/reader.go
@@ -5,7 +5,7 @@
 )
 
 // followersPerReader is how many instances one reader of the store serves.
-const followersPerReader = 16
+const followersPerReader = 32
 
 // readerKey orders the instances of an availability zone, so that the readers
 // are not those that come first by name.
--- a/internal/gen/front/frontconnect/front.connect.go
+++ b/internal/gen/front/frontconnect/front.connect.go
@@ -36,6 +36,10 @@
 const (
 	// FrontServiceFollowProcedure is the fully-qualified name of the FrontService's Follow RPC.
 	FrontServiceFollowProcedure = "/hyssopshore.front.v1.FrontService/Follow"
+	// FrontServiceGatherProcedure is the fully-qualified name of the FrontService's Gather RPC.
+	FrontServiceGatherProcedure = "/hyssopshore.front.v1.FrontService/Gather"
+	// FrontServiceProbeProcedure is the fully-qualified name of the FrontService's Probe RPC.
+	FrontServiceProbeProcedure = "/hyssopshore.front.v1.FrontService/Probe"
 )
 
 // FrontServiceClient is a client for the hyssopshore.front.v1.FrontService service.
@@ -43,6 +47,11 @@
 	// Follow returns what the called daemon has learned from the store since the
 	// caller last asked it, as soon as there is something or the wait is over.
 	Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error)
+	// Gather answers a query of the caller's caller. The first reply says whether
+	// the called daemon takes it, the second one is the answer.
+	Gather(context.Context, *connect.Request[front.GatherRequest]) (*connect.ServerStreamForClient[front.GatherReply], error)
+	// Probe returns at once.
+	Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error)
 }
 
 // NewFrontServiceClient constructs a client for the hyssopshore.front.v1.FrontService service. By
@@ -62,12 +71,26 @@
 			connect.WithSchema(frontServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		gather: connect.NewClient[front.GatherRequest, front.GatherReply](
+			httpClient,
+			baseURL+FrontServiceGatherProcedure,
+			connect.WithSchema(frontServiceMethods.ByName("Gather")),
+			connect.WithClientOptions(opts...),
+		),
+		probe: connect.NewClient[front.ProbeRequest, front.ProbeReply](
+			httpClient,
+			baseURL+FrontServiceProbeProcedure,
+			connect.WithSchema(frontServiceMethods.ByName("Probe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // frontServiceClient implements FrontServiceClient.
 type frontServiceClient struct {
 	follow *connect.Client[front.FollowRequest, front.FollowReply]
+	gather *connect.Client[front.GatherRequest, front.GatherReply]
+	probe  *connect.Client[front.ProbeRequest, front.ProbeReply]
 }
 
 // Follow calls hyssopshore.front.v1.FrontService.Follow.
@@ -75,11 +98,26 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// Gather calls hyssopshore.front.v1.FrontService.Gather.
+func (c *frontServiceClient) Gather(ctx context.Context, req *connect.Request[front.GatherRequest]) (*connect.ServerStreamForClient[front.GatherReply], error) {
+	return c.gather.CallServerStream(ctx, req)
+}
+
+// Probe calls hyssopshore.front.v1.FrontService.Probe.
+func (c *frontServiceClient) Probe(ctx context.Context, req *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error) {
+	return c.probe.CallUnary(ctx, req)
+}
+
 // FrontServiceHandler is an implementation of the hyssopshore.front.v1.FrontService service.
 type FrontServiceHandler interface {
 	// Follow returns what the called daemon has learned from the store since the
 	// caller last asked it, as soon as there is something or the wait is over.
 	Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error)
+	// Gather answers a query of the caller's caller. The first reply says whether
+	// the called daemon takes it, the second one is the answer.
+	Gather(context.Context, *connect.Request[front.GatherRequest], *connect.ServerStream[front.GatherReply]) error
+	// Probe returns at once.
+	Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error)
 }
 
 // NewFrontServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -95,10 +133,26 @@
 		connect.WithSchema(frontServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	frontServiceGatherHandler := connect.NewServerStreamHandler(
+		FrontServiceGatherProcedure,
+		svc.Gather,
+		connect.WithSchema(frontServiceMethods.ByName("Gather")),
+		connect.WithHandlerOptions(opts...),
+	)
+	frontServiceProbeHandler := connect.NewUnaryHandler(
+		FrontServiceProbeProcedure,
+		svc.Probe,
+		connect.WithSchema(frontServiceMethods.ByName("Probe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hyssopshore.front.v1.FrontService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FrontServiceFollowProcedure:
 			frontServiceFollowHandler.ServeHTTP(w, r)
+		case FrontServiceGatherProcedure:
+			frontServiceGatherHandler.ServeHTTP(w, r)
+		case FrontServiceProbeProcedure:
+			frontServiceProbeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -111,3 +165,11 @@
 func (UnimplementedFrontServiceHandler) Follow(context.Context, *connect.Request[front.FollowRequest]) (*connect.Response[front.FollowReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Follow is not implemented"))
 }
+
+func (UnimplementedFrontServiceHandler) Gather(context.Context, *connect.Request[front.GatherRequest], *connect.ServerStream[front.GatherReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Gather is not implemented"))
+}
+
+func (UnimplementedFrontServiceHandler) Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Probe is not implemented"))
+}
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -10,8 +10,8 @@
 
 // Rhythm of the announcement of this instance.
 const (
-	announceLease = 20 * time.Second
-	renewInterval = 6 * time.Second
+	announceLease = 30 * time.Second
+	renewInterval = 9 * time.Second
 	// startSpan is the time within which the other daemons have announced
 	// themselves too, if all start at once.
 	startSpan = 500 * time.Millisecond
@@ -20,9 +20,18 @@
 // announce lists this instance in the store and reads the others, unless a
 // reader tells them.
 func (f *Front) announce(ctx context.Context) {
-	lease := f.keepAnnounced(ctx, 0)
 	f.readShared(ctx)
+	alone := len(f.peers()) == 0
+	if !alone || !f.settings.FirstStart {
+		close(f.neighboursRead)
+	}
+	lease := f.keepAnnounced(ctx, 0)
 	sleep(ctx, startSpan)
+	if alone && f.settings.FirstStart {
+		// All start at once: now they have announced themselves.
+		f.readShared(ctx)
+		close(f.neighboursRead)
+	}
 	for ctx.Err() == nil {
 		if !f.following.Load() {
 			f.readShared(ctx)
@@ -54,9 +63,12 @@
 	}
 	f.mu.Unlock()
 	count := int64(len(instances))
-	if before := f.instances.Swap(count); before != count {
+	before := f.instances.Swap(count)
+	if before != count {
 		f.log.Info("instances counted", "count", count, "before", before)
 		f.shareBudgets()
+	}
+	if changed {
 		f.assign()
 	}
 }
@@ -64,7 +76,7 @@
 // self is this instance as others see it.
 func (f *Front) self() hysmember.Instance {
 	s := f.settings
-	return hysmember.Instance{ID: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Region: s.Region}
+	return hysmember.Instance{ID: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, ProcessorShare: s.ProcessorShare}
 }
 
 // keepAnnounced renews the announcement, or makes a new one: a lease that can't be
--- a/io/hysfront/assign.go
+++ b/io/hysfront/assign.go
@@ -18,6 +18,9 @@
 
 // assign gives the dispatcher the searchers of every service.
 func (f *Front) assign() {
+	if f.reviewGathering() {
+		f.shareBudgets()
+	}
 	byService := make(map[hysservice.Name][]hysdispatch.Replica)
 	listed := make(map[hysmember.SearcherID]hysmember.Address)
 	for _, e := range f.directory.Entries() {
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -36,8 +36,15 @@
 	followPause = 20 * time.Millisecond
 	// followSlack is how much older than a reader's pace its news may be.
 	followSlack = 800 * time.Millisecond
-	// ownReadTime is how long the store is read after a reader has failed.
-	ownReadTime = 5 * time.Second
+	// ownReadTime is how long the store is read after a reader has failed,
+	// firstReadTime the same for a daemon that knows nothing yet: its reader may
+	// have been restarted with it.
+	ownReadTime   = 5 * time.Second
+	firstReadTime = 1 * time.Second
+	// firstPatience is how long a daemon waits for its reader when the whole
+	// system starts for the first time, firstPause the time between two questions.
+	firstPatience = 2 * time.Second
+	firstPause    = 100 * time.Millisecond
 )
 
 func sleep(ctx context.Context, span time.Duration) {
@@ -57,17 +64,34 @@
 	failures int
 	// ownUntil is until when the store is read whoever else does.
 	ownUntil time.Time
+	// began is when this daemon began to follow.
+	began time.Time
+}
+
+// awaitsReader reports whether a daemon that knows nothing waits for its reader,
+// which starts at the same time, instead of reading everything itself.
+func (f *Front) awaitsReader(p progress) bool {
+	_, ok := f.reader()
+	return ok && f.settings.FirstStart && !f.listed.Load() && time.Since(p.began) < firstPatience
 }
 
 // follow keeps the configuration and the list of the searchers at the newest,
 // from the store or from the daemon that reads it for some others.
 func (f *Front) follow(ctx context.Context) {
-	var p progress
+	select {
+	case <-f.neighboursRead:
+	case <-ctx.Done():
+	}
+	p := progress{began: time.Now()}
 	for ctx.Err() == nil {
 		followed := f.followReader(ctx, &p)
 		f.following.Store(followed)
 		rest := followPause
-		if !followed {
+		switch {
+		case followed:
+		case f.awaitsReader(p):
+			rest = firstPause
+		default:
 			rest = f.followStore(ctx, &p)
 		}
 		f.noteChanges(f.directory.Settle(time.Now()))
@@ -79,12 +103,12 @@
 // whether the reader told what it knows.
 func (f *Front) followReader(ctx context.Context, p *progress) bool {
 	reader, ok := f.reader()
-	if !ok || p.after == 0 || time.Now().Before(p.ownUntil) {
+	if !ok || time.Now().Before(p.ownUntil) {
 		return false
 	}
 	age, err := f.askInstance(ctx, reader, followWait, f.longestAge())
 	if err != nil {
-		p.ownUntil = time.Now().Add(ownReadTime)
+		p.ownUntil = time.Now().Add(f.ownReadTime(*p))
 		if ctx.Err() == nil {
 			f.log.Warn("reader lost", "reader", reader.ID, "error", err)
 		}
@@ -98,6 +122,18 @@
 	return true
 }
 
+// ownReadTime is how long the store is read after the reader has failed.
+func (f *Front) ownReadTime(p progress) time.Duration {
+	switch {
+	case f.awaitsReader(p):
+		return 0
+	case !f.listed.Load():
+		return firstReadTime
+	default:
+		return ownReadTime
+	}
+}
+
 // reader is the daemon that reads the store for this one.
 func (f *Front) reader() (hysmember.Instance, bool) {
 	f.mu.Lock()
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -25,6 +25,7 @@
 
 	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysroute"
@@ -67,6 +68,9 @@
 	suspects     *hysquarantine.Watch
 	// accusations are the records that are to be written to the store.
 	accusations chan hysquarantine.Record
+	// neighboursRead is closed once the daemon knows who else there is, or that the
+	// store does not tell it.
+	neighboursRead chan struct{}
 	// configured is closed once there is a configuration.
 	configured chan struct{}
 	// listed is set once the list of searchers has been read.
@@ -79,6 +83,8 @@
 	// this one.
 	others  dependency
 	relayed *hysrelay.Client
+	// lastAsked is the daemon that has told its news then; only relay uses it.
+	lastAsked hysmember.InstanceID
 	// following is set while a reader is followed instead of the store.
 	following atomic.Bool
 	// start tells the starts of this daemon apart.
@@ -86,6 +92,11 @@
 	// newest is the configuration in force.
 	newest    atomic.Pointer[Configured]
 	knowledge knowledge
+	// gathering is who gathers queries, delegates to whom of them this daemon
+	// hands its own; parts counts those in flight of the queries of others.
+	gathering atomic.Pointer[gathering]
+	delegates *hysgather.Delegates
+	parts     atomic.Int64
 
 	// Lock order: configureMu, then mu, then the dispatcher's locks, then
 	// budgetMu. configureMu is held while a configuration is taken over, which
@@ -130,13 +141,16 @@
 	f := &Front{
 		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
 		directory: hysmember.NewDirectory(), configured: make(chan struct{}),
-		relayed:  hysrelay.NewClient(),
-		budgets:  make(map[hysservice.Name]*hysbudget.Budget),
-		assigned: make(map[hysservice.Name]bool),
-		cursors:  make(map[hysmember.InstanceID]hysrelay.Cursor),
-		told:     make(map[hysmember.InstanceID]hysrelay.Cursor),
-		start:    uuid.NewString(),
-		suspects: hysquarantine.NewWatch(time.Now),
+		neighboursRead: make(chan struct{}),
+		relayed:        hysrelay.NewClient(),
+		budgets:        make(map[hysservice.Name]*hysbudget.Budget),
+		assigned:       make(map[hysservice.Name]bool),
+		cursors:        make(map[hysmember.InstanceID]hysrelay.Cursor),
+		told:           make(map[hysmember.InstanceID]hysrelay.Cursor),
+		start:          uuid.NewString(),
+
+		delegates: hysgather.NewDelegates(time.Now),
+		suspects:  hysquarantine.NewWatch(time.Now),
 
 		accusations: make(chan hysquarantine.Record, accuseQueue),
 
@@ -154,7 +168,7 @@
 		hysdispatch.WithConnections(f.forward.Connected))
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
-		Suspect: f.suspect, Observe: f.observe, Closing: f.turnsAway,
+		Delegate: f.delegate, Suspect: f.suspect, Observe: f.observe, Closing: f.turnsAway,
 	}
 	f.callers = newCallers(f.ingress, f.log)
 	for _, o := range options {
--- /dev/null
+++ b/io/hysfront/gather_test.go
@@ -0,0 +1,186 @@
+package hysfront_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysservice"
+	"hyssopshore/internal/hystest"
+	"hyssopshore/io/hysfront"
+)
+
+// countedSearcher is a searcher of a shard that counts its requests, and those
+// that were cancelled.
+type countedSearcher struct {
+	entry     hysmember.Entry
+	requests  atomic.Int64
+	cancelled atomic.Int64
+	slow      atomic.Int64
+}
+
+func newCountedSearcher(id hysmember.SearcherID, service hysservice.Name) *countedSearcher {
+	s := &countedSearcher{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		select {
+		case <-time.After(time.Duration(s.slow.Load())):
+		case <-r.Context().Done():
+			s.cancelled.Add(1)
+			return
+		}
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.Header().Set("X-Sig", "s-"+string(id))
+		_, _ = io.WriteString(w, "0123456789abcdef")
+	}))
+	DeferCleanup(server.Close)
+	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
+	s.entry = hysmember.Entry{
+		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 4, Born: 10, Revision: 1,
+	}
+	return s
+}
+
+// silentAddress accepts connections and never answers.
+func silentAddress(ip string) hysmember.Address {
+	listener, err := net.Listen("tcp", string(hystest.FreeAddress(ip)))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() {
+		for {
+			if _, err := listener.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	return hysmember.Address(listener.Addr().String())
+}
+
+var _ = Describe("a query at a daemon that does not gather", func() {
+	const strong, weak = 1.0, 0.1
+	var taker, gatherer *daemon
+	var one, other *countedSearcher
+	var shared *store
+
+	// startAll starts a daemon and a gatherer, beside another gatherer at an
+	// address and weak daemons that are only listed.
+	startAll := func(first byte, second hysmember.Address) {
+		ip := func(n byte) string { return fmt.Sprintf("127.0.1.%d", first+n) }
+		taker, gatherer = newDaemon(ip(0)), newDaemon(ip(1))
+		taker.settings.ProcessorShare, gatherer.settings.ProcessorShare = weak, strong
+		all := hysmember.Instances{taker.instance(), gatherer.instance()}
+		all[0].ProcessorShare, all[1].ProcessorShare = weak, strong
+		all = append(all, hysmember.Instance{ID: "second", Address: second, Zone: "z", Region: "r", ProcessorShare: strong})
+		for n := range 9 {
+			all = append(all, hysmember.Instance{
+				ID: hysmember.InstanceID(fmt.Sprint("weak-", n)), Address: "127.0.0.1:1", Zone: "other", Region: "r", ProcessorShare: weak,
+			})
+		}
+		one, other = newCountedSearcher("s-1", "desk"), newCountedSearcher("s-2", "ledger")
+		shared = &store{
+			version: 1, revision: 5, shards: []hysservice.Name{"desk", "ledger"}, peers: all,
+			entries: hysmember.Entries{one.entry, other.entry},
+		}
+		for _, d := range []*daemon{gatherer, taker} {
+			d.start(shared)
+			Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+			Eventually(d.log.String, "3s").Should(ContainSubstring(`"gatherers":2`))
+		}
+	}
+
+	handedOver := func() int { return strings.Count(taker.log.String(), `"gathered-by":"entry-`) }
+
+	It("is answered by a gatherer, with one part of each shard", func() {
+		startAll(10, "127.0.0.1:1")
+		for range 20 {
+			status, body := taker.askFor("/query/1")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(HaveLen(16))
+		}
+		Expect(handedOver()).To(BeNumerically(">", 15))
+		Expect(one.requests.Load()).To(BeNumerically("<=", 22))
+		Eventually(gatherer.log.String).Should(ContainSubstring(`"for-another":true`))
+	})
+
+	It("is answered in time though the other gatherer is silent", func() {
+		startAll(20, silentAddress("127.0.1.29"))
+		for range 10 {
+			began := time.Now()
+			status, _ := taker.askFor("/query/1")
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(time.Since(began)).To(BeNumerically("<", 150*time.Millisecond))
+		}
+		Expect(strings.Count(taker.log.String(), "query not taken by gatherer")).To(BeNumerically("<=", 1), "a silent one is left out for a while")
+	})
+
+	It("is gathered by the daemon itself if no gatherer answers", func() {
+		startAll(30, silentAddress("127.0.1.39"))
+		gatherer.stop()
+		Eventually(gatherer.stopped, "10s").Should(Receive(BeNil()))
+		gatherer.stopped <- nil
+		status, _ := taker.askFor("/query/1")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(taker.log.String()).To(ContainSubstring(`"gathered-by":"","for-another":false`))
+	})
+
+	It("goes elsewhere while a gatherer stops, which finishes what it has taken", func() {
+		startAll(40, "127.0.0.1:1")
+		// The first query warms the connections.
+		taker.askFor("/query/1")
+		one.slow.Store(int64(400 * time.Millisecond))
+		answers := make(chan int, 1)
+		go func() { status, _ := taker.askFor("/query/2"); answers <- status }()
+		Eventually(one.requests.Load).Should(BeNumerically(">=", 2))
+		gatherer.stop()
+		Expect(<-answers).To(Equal(http.StatusOK))
+		one.slow.Store(0)
+		status, _ := taker.askFor("/query/3")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(taker.log.String()).To(ContainSubstring("the daemon is stopping"))
+	})
+
+	It("is cancelled at the searchers when its caller leaves", func() {
+		startAll(50, "127.0.0.1:1")
+		taker.askFor("/query/1")
+		one.slow.Store(int64(900 * time.Millisecond))
+		r, err := http.NewRequest(http.MethodGet, "http://"+string(taker.settings.CallerAddress)+"/query/2", nil)
+		Expect(err).NotTo(HaveOccurred())
+		r.Host = "rota.example"
+		r.Header.Set("X-Id", "r-2")
+		client := &http.Client{Timeout: 100 * time.Millisecond}
+		_, err = client.Do(r)
+		Expect(err).To(HaveOccurred())
+		Eventually(one.cancelled.Load, "400ms").Should(BeNumerically(">=", 1))
+		Eventually(taker.log.String).Should(ContainSubstring("request abandoned"))
+	})
+
+	It("is not gathered by a configuration that is older than the daemon's", func() {
+		startAll(60, "127.0.0.1:1")
+		newer := &store{version: 9, revision: 90, shards: shared.shards}
+		shared.set(func() {
+			// Only one of the two watches hears of it.
+			shared.changes = []hysfront.Changes{{Configured: newer.configuration(), Revision: 90, Events: 1}}
+		})
+		knows := func() string {
+			for _, d := range []*daemon{taker, gatherer} {
+				if strings.Contains(d.log.String(), `"msg":"configuration in force","instance":"`+string(d.settings.Instance)+`","version":9`) {
+					return string(d.settings.Instance)
+				}
+			}
+			return ""
+		}
+		Eventually(knows, "4s").ShouldNot(BeEmpty())
+		status, _ := taker.askFor("/query/1")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(taker.log.String()).To(ContainSubstring(`"route":"query","service":"","configuration":9`))
+	})
+})
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -59,6 +59,36 @@
 		Expect(reader.log.String()).NotTo(ContainSubstring("reader followed"))
 	})
 
+	It("starts from what the other one knows, and reads nothing of the store", func() {
+		startBoth("127.0.0.29", "127.0.0.30")
+		Expect(follower.ready()).To(Equal(http.StatusOK))
+		followerStore.mu.Lock()
+		defer followerStore.mu.Unlock()
+		Expect(followerStore.reads).To(BeZero())
+	})
+
+	It("waits for it when the whole system starts for the first time", func() {
+		one, other := newDaemon("127.0.0.31"), newDaemon("127.0.0.32")
+		one.settings.FirstStart, other.settings.FirstStart = true, true
+		all := hysmember.Instances{one.instance(), other.instance()}
+		reads := 0
+		stores := []*store{}
+		for _, d := range []*daemon{one, other} {
+			s := &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
+			stores = append(stores, s)
+			d.start(s)
+		}
+		for _, d := range []*daemon{one, other} {
+			Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		}
+		for _, s := range stores {
+			s.mu.Lock()
+			reads += s.reads
+			s.mu.Unlock()
+		}
+		Expect(reads).To(Equal(1), "only the reader reads")
+	})
+
 	It("reads the store itself once the other one has stopped", func() {
 		startBoth("127.0.0.13", "127.0.0.14")
 		reader.stop()
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -68,14 +67,15 @@
 
 // askOthers takes over what one of some other daemons knows.
 func (f *Front) askOthers(ctx context.Context) error {
-	peers := f.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers := f.peers().ByDistance(f.settings.Zone, f.settings.Region, f.lastAsked)
 	last := fmt.Errorf("askOthers: %w", errNobody)
 	for _, i := range peers[:min(len(peers), askedInstances)] {
 		if _, err := f.askInstance(ctx, i, 0, min(maxNewsAge, f.knowledge.age())); err != nil {
 			last = fmt.Errorf("askOthers: %w", err)
+			f.lastAsked = ""
 			continue
 		}
+		f.lastAsked = i.ID
 		return nil
 	}
 	return last
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -25,6 +25,8 @@
 	maxHeadBytes = 64 << 10
 	// ownTimeout bounds a request to the ports that callers don't use.
 	ownTimeout = 5 * time.Second
+	// ownIdleTimeout is longer than other daemons keep a connection.
+	ownIdleTimeout = 30 * time.Second
 )
 
 // Times of a planned stop.
@@ -51,14 +53,14 @@
 		{name: "callers", address: f.settings.CallerAddress, serve: f.callers.Serve, close: f.callers.close},
 		f.ownPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness)),
 		f.ownPort("metrics", metrics, f.metrics.Handler()),
-		f.ownPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.tell)),
+		f.ownPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.tell, f.gather)),
 	}
 }
 
 // ownPort is a port that callers don't use.
 func (f *Front) ownPort(name string, address hysmember.Address, handler http.Handler) port {
 	s := &http.Server{
-		Handler: handler, ReadTimeout: ownTimeout, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		Handler: handler, ReadTimeout: ownTimeout, IdleTimeout: ownIdleTimeout, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
 	// Nothing is served on it any more when it is closed.
 	return port{name: name, address: address, serve: s.Serve, close: func() { _ = s.Close() }}
@@ -106,5 +108,6 @@
 	if err := f.callers.shutdown(ctx); err != nil {
 		f.log.Warn("stopped with requests in flight", "error", err)
 	}
+	f.finishGathering(ctx)
 	closePorts(ports)
 }
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -41,6 +41,11 @@
 	PeerAddress hysmember.Address
 	// MemoryBytes is what the process may use; 0 stands for no limit.
 	MemoryBytes int64
+	// ProcessorShare is what the process may use of a processor core; 0 if it is
+	// not known.
+	ProcessorShare float64
+	// FirstStart is set when the whole system starts for the first time.
+	FirstStart bool
 	// StopGrace is how long after SIGTERM the process may still run.
 	StopGrace time.Duration
 	// RetryShare and RetrySlack bound the sends of all daemons beyond the first
--- a/io/hysfront/warm.go
+++ b/io/hysfront/warm.go
@@ -16,8 +16,8 @@
 // nearest one of each shard of queries. More would be in the way after a loss of
 // power: the searchers count the connections of before until they time out.
 func (f *Front) chooseWarm(byService map[hysservice.Name][]hysdispatch.Replica) hysmember.Searchers {
-	state := f.configuration()
-	if state == nil {
+	state, g := f.configuration(), f.gathering.Load()
+	if state == nil || !g.gathers {
 		return nil
 	}
 	var warm hysmember.Searchers
--- /dev/null
+++ b/io/hysingress/delegate.go
@@ -0,0 +1,156 @@
+package hysingress
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hyssopshore/core/hysmessage"
+	"hyssopshore/core/hysquery"
+	"hyssopshore/core/hysroute"
+)
+
+// Reasons why this instance does not gather a query for another one.
+const (
+	// ErrNotQuery means that the request is no query by the configuration here.
+	ErrNotQuery = errors.ConstError("the request is no query here")
+	// ErrOutdated means that the other instance has a newer configuration.
+	ErrOutdated = errors.ConstError("the configuration here is older")
+)
+
+// Delegation is a query that is handed to another instance as its caller sent it.
+type Delegation struct {
+	// ID is the caller's, for the log.
+	ID      hysquery.RequestID
+	Message *hysmessage.Request
+	// Start is when the query came, Goal the time within which its answer has its
+	// full value.
+	Start time.Time
+	Goal  time.Duration
+	// Configuration is the version by which the query was matched.
+	Configuration hysroute.Version
+	// UsedAttempts is how often each part may have been sent before.
+	UsedAttempts int
+}
+
+// Delegated is the answer of the instance that gathered a query.
+type Delegated struct {
+	// Instance is the one that gathered it.
+	Instance string
+	Response hysmessage.Response
+	// Record is what is known there of the query.
+	Record Record
+}
+
+// Declined is an instance that has not taken a query.
+type Declined struct {
+	Reason string
+	// RetryAfter is when it may take one.
+	RetryAfter time.Duration
+}
+
+// Error returns the reason.
+func (d *Declined) Error() string { return d.Reason }
+
+// ErrLost means that an instance has taken a query and gives no answer. Its parts
+// may have run as often as they may.
+const ErrLost = errors.ConstError("the instance that gathered the query was lost")
+
+// DelegateFunc hands a query to another instance. An error other than ErrLost means
+// that none has taken it, and that it is to be gathered here; it returns too how
+// often its parts may have been sent before.
+type DelegateFunc func(context.Context, Delegation) (answer Delegated, usedAttempts int, err error)
+
+// delegate hands the query over. It reports whether the request has ended.
+func (e *exchange) delegate(ctx context.Context) bool {
+	if e.ingress.Delegate == nil || e.delegated {
+		return false
+	}
+	answer, used, err := e.ingress.Delegate(ctx, Delegation{
+		ID: e.record.ID,
+		Message: &hysmessage.Request{
+			Method: e.request.Method, Target: target(e.request), Host: e.request.Host,
+			Header: hysmessage.EndToEnd(e.request.Header), Body: e.message.Body,
+		},
+		Start: e.start, Goal: e.route.Goal, Configuration: e.record.Configuration,
+	})
+	e.usedAttempts = used
+	switch {
+	case ctx.Err() != nil:
+		e.abandon()
+		return true
+	case errors.Is(err, ErrLost), err != nil && used >= e.route.MaxAttempts:
+		e.fail(http.StatusBadGateway, err.Error())
+		return true
+	case err != nil:
+		return false
+	}
+	r := answer.Record
+	e.record.GatheredBy, e.record.Configuration = answer.Instance, r.Configuration
+	e.record.Outcome, e.record.Reason, e.record.RetryAfter = r.Outcome, r.Reason, r.RetryAfter
+	e.record.Shards, e.record.Answered, e.record.Sends = r.Shards, r.Answered, r.Sends
+	e.write(answer.Response.Status, answer.Response.Header, answer.Response.Body)
+	return true
+}
+
+// AcceptFunc takes a query over a number of shards, or returns why it is not
+// taken.
+type AcceptFunc func(shards int) error
+
+// Gather answers a query of another instance's caller. It is observed here too,
+// with the caller's id. Nothing runs before accept has taken it.
+func (i *Ingress) Gather(ctx context.Context, d Delegation, accept AcceptFunc) (Delegated, error) {
+	state := i.State(ctx)
+	if state == nil || state.Version < d.Configuration {
+		return Delegated{}, ErrOutdated
+	}
+	request := d.request(ctx)
+	route, ok := state.Match(hostname(request.Host), request.URL.Path)
+	if !ok || !route.IsQuery() {
+		return Delegated{}, ErrNotQuery
+	}
+	if err := accept(len(route.Shards)); err != nil {
+		return Delegated{}, fmt.Errorf("Ingress.Gather: %w", err)
+	}
+	w := &responseBuffer{header: make(http.Header)}
+	e := &exchange{ingress: i, writer: w, request: request, start: d.Start, delegated: true, usedAttempts: d.UsedAttempts}
+	e.serve()
+	return Delegated{
+		Response: hysmessage.Response{Status: w.status, Header: w.header, Body: w.body.Bytes()}, Record: e.record,
+	}, nil
+}
+
+// request is the query as it would have come from its caller.
+func (d Delegation) request(ctx context.Context) *http.Request {
+	m := d.Message
+	path, query, _ := strings.Cut(m.Target, "?")
+	r := &http.Request{
+		Method: m.Method, Host: m.Host, RequestURI: m.Target, Header: m.Header, Proto: "HTTP/1.1",
+		URL:  &url.URL{Path: path, RawQuery: query},
+		Body: io.NopCloser(bytes.NewReader(m.Body)), ContentLength: int64(len(m.Body)),
+	}
+	return r.WithContext(ctx)
+}
+
+// responseBuffer keeps a response for the instance that has handed the query over.
+type responseBuffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the fields to be sent.
+func (b *responseBuffer) Header() http.Header { return b.header }
+
+// WriteHeader keeps the status.
+func (b *responseBuffer) WriteHeader(status int) { b.status = status }
+
+// Write keeps a part of the body.
+func (b *responseBuffer) Write(p []byte) (int, error) { return b.body.Write(p) }
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -88,6 +88,10 @@
 	// Searcher is the one whose response was passed on.
 	Searcher   string
 	RetryAfter time.Duration
+	// GatheredBy is the other instance that has gathered a query, if one has.
+	GatheredBy string
+	// Delegated is set at that instance.
+	Delegated bool
 }
 
 // Missing is a shard that an answer does not cover.
@@ -120,9 +124,11 @@
 	State   StateFunc
 	Submit  hysgather.SubmitFunc
 	// Admit decides whether a query may be run.
-	Admit   AdmitFunc
-	Suspect SuspectFunc
-	Observe ObserveFunc
+	Admit AdmitFunc
+	// Delegate hands a query to another instance; nil if each gathers its own.
+	Delegate DelegateFunc
+	Suspect  SuspectFunc
+	Observe  ObserveFunc
 	// Closing reports whether connections are to be closed after an answer.
 	Closing func() bool
 }
@@ -140,6 +146,10 @@
 	fingerprint hysquery.Fingerprint
 	// deadline is when the request is given up.
 	deadline time.Time
+	// delegated queries have come from another instance.
+	delegated bool
+	// usedAttempts is how often each part of a query may have been sent before.
+	usedAttempts int
 }
 
 // ServeHTTP answers a request.
@@ -148,12 +158,17 @@
 	if i.Closing() {
 		w.Header().Set("Connection", "close")
 	}
-	e.record.ID = hysquery.RequestID(r.Header.Get(i.Headers.RequestID))
+	e.serve()
+}
+
+func (e *exchange) serve() {
+	e.record.ID = hysquery.RequestID(e.request.Header.Get(e.ingress.Headers.RequestID))
+	e.record.Delegated = e.delegated
 	if e.prepare() && e.readBody() {
-		e.run(r.Context())
+		e.run(e.request.Context())
 	}
 	e.record.Latency = time.Since(e.start)
-	i.Observe(e.record)
+	e.ingress.Observe(e.record)
 }
 
 // prepare matches the request. It answers it and returns false if it can't run.
@@ -260,7 +275,7 @@
 	return hysdispatch.SubRequest{
 		RequestID: e.record.ID, Fingerprint: e.fingerprint, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
-		Deadline: e.deadline, Goal: e.route.Goal, Returning: e.record.Returning, Message: e.message, MaxRuns: e.route.MaxAttempts, RetryNotRun: true,
+		Deadline: e.deadline, Goal: e.route.Goal, Returning: e.record.Returning, Message: e.message, MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), RetryNotRun: true,
 	}
 }
 
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -15,6 +15,9 @@
 
 // runQuery answers a request that a searcher of each shard runs.
 func (e *exchange) runQuery(ctx context.Context) {
+	if e.delegate(ctx) {
+		return
+	}
 	shards := e.route.Shards
 	s := &hysgather.Spread{
 		Submit: e.ingress.Submit, Deadline: e.deadline,
--- /dev/null
+++ b/io/hysrelay/gather.go
@@ -0,0 +1,186 @@
+package hysrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/juju/errors"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysmessage"
+	"hyssopshore/core/hysroute"
+	"hyssopshore/internal/gen/front"
+	"hyssopshore/internal/gen/front/frontconnect"
+	"hyssopshore/io/hysingress"
+)
+
+// Errors of a query that was handed to a gatherer.
+const (
+	// ErrSilent means that the gatherer has not said in time that it takes the
+	// query, or has stopped answering.
+	ErrSilent = errors.ConstError("the gatherer is silent")
+	// ErrMalformed means that the gatherer has sent what is no answer.
+	ErrMalformed = errors.ConstError("the gatherer's answer is malformed")
+)
+
+// Times of a gatherer.
+const (
+	// acceptTimeout is how long a gatherer may take to say that it takes a query.
+	acceptTimeout = 20 * time.Millisecond
+	// probePart is the part of a query's goal after which a gatherer that has not
+	// answered is probed, probeTimeout how long that may take.
+	probePart    = 0.6
+	probeTimeout = 25 * time.Millisecond
+)
+
+// GatherFunc answers a query of another daemon. It calls accept before anything
+// runs; without that the query is declined.
+type GatherFunc func(ctx context.Context, d hysingress.Delegation, accept func() error) (hysingress.Delegated, error)
+
+// Gather answers a query of another daemon.
+func (s *server) Gather(ctx context.Context, r *connect.Request[front.GatherRequest], stream *connect.ServerStream[front.GatherReply]) error {
+	accepted := false
+	accept := func() error {
+		accepted = true
+		return stream.Send(&front.GatherReply{Accepted: true})
+	}
+	answer, err := s.gather(ctx, decodeDelegation(r.Msg), accept)
+	switch {
+	case err == nil:
+		return stream.Send(encodeDelegated(answer))
+	case accepted:
+		return connect.NewError(connect.CodeUnavailable, err)
+	default:
+		declined := &hysingress.Declined{Reason: err.Error()}
+		errors.As(err, &declined)
+		return stream.Send(&front.GatherReply{Reason: err.Error(), RetryAfterUs: declined.RetryAfter.Microseconds()})
+	}
+}
+
+// Probe tells that this daemon answers.
+func (s *server) Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error) {
+	return connect.NewResponse(&front.ProbeReply{}), nil
+}
+
+// Gather hands a query to a daemon. The end of the context cancels it there. The
+// error is ErrLost after the daemon has taken the query, a Declined if it has not,
+// and any other if that is not known.
+func (c *Client) Gather(ctx context.Context, address hysmember.Address, d hysingress.Delegation) (hysingress.Delegated, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(acceptTimeout, func() { cancel(ErrSilent) })
+	defer silent.Stop()
+	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
+	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d)))
+	if err != nil {
+		return hysingress.Delegated{}, lostGatherer(ctx, err)
+	}
+	defer stream.Close()
+	if !stream.Receive() {
+		return hysingress.Delegated{}, lostGatherer(ctx, stream.Err())
+	}
+	if first := stream.Msg(); !first.Accepted {
+		return hysingress.Delegated{}, &hysingress.Declined{
+			Reason: first.Reason, RetryAfter: time.Duration(first.RetryAfterUs) * time.Microsecond,
+		}
+	}
+	silent.Stop()
+	watch := c.watchGatherer(ctx, service, d, cancel)
+	defer watch.Stop()
+	if !stream.Receive() {
+		return hysingress.Delegated{}, fmt.Errorf("%w: %w", hysingress.ErrLost, lostGatherer(ctx, stream.Err()))
+	}
+	answer := decodeDelegated(stream.Msg())
+	if !usable(answer) {
+		return hysingress.Delegated{}, fmt.Errorf("Client.Gather: status %d, outcome %d: %w: %w",
+			answer.Response.Status, answer.Record.Outcome, hysingress.ErrLost, ErrMalformed)
+	}
+	return answer, nil
+}
+
+// watchGatherer gives a gatherer up that has not answered for a part of the
+// query's goal and does not answer a probe either: one that has lost its power
+// says nothing more.
+func (c *Client) watchGatherer(ctx context.Context, service frontconnect.FrontServiceClient, d hysingress.Delegation, cancel context.CancelCauseFunc) *time.Timer {
+	wait := time.Duration(probePart*float64(d.Goal)) - time.Since(d.Start)
+	return time.AfterFunc(max(wait, probeTimeout), func() {
+		probe, stop := context.WithTimeout(ctx, probeTimeout)
+		defer stop()
+		if _, err := service.Probe(probe, connect.NewRequest(&front.ProbeRequest{})); err != nil {
+			cancel(ErrSilent)
+		}
+	})
+}
+
+// lostGatherer is why a gatherer has not answered.
+func lostGatherer(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), ErrSilent) {
+		return fmt.Errorf("Client.Gather: %w", ErrSilent)
+	}
+	return fmt.Errorf("Client.Gather: %w", err)
+}
+
+func encodeDelegation(d hysingress.Delegation) *front.GatherRequest {
+	return &front.GatherRequest{
+		Method: d.Message.Method, Target: d.Message.Target, Host: d.Message.Host,
+		Header: encodeHeader(d.Message.Header), Body: d.Message.Body,
+		ElapsedUs: time.Since(d.Start).Microseconds(), Configuration: int64(d.Configuration),
+		UsedAttempts: int32(d.UsedAttempts),
+	}
+}
+
+func decodeDelegation(r *front.GatherRequest) hysingress.Delegation {
+	return hysingress.Delegation{
+		Message: &hysmessage.Request{
+			Method: r.Method, Target: r.Target, Host: r.Host, Header: decodeHeader(r.Header), Body: r.Body,
+		},
+		Start:         time.Now().Add(-time.Duration(max(r.ElapsedUs, 0)) * time.Microsecond),
+		Configuration: hysroute.Version(r.Configuration),
+		UsedAttempts:  max(int(r.UsedAttempts), 0),
+	}
+}
+
+func encodeDelegated(d hysingress.Delegated) *front.GatherReply {
+	return &front.GatherReply{
+		Status: int32(d.Response.Status), Header: encodeHeader(d.Response.Header), Body: d.Response.Body,
+		Outcome: int32(d.Record.Outcome), Reason: d.Record.Reason, Configuration: int64(d.Record.Configuration),
+		Shards: int32(d.Record.Shards), Answered: int32(d.Record.Answered), Sends: int32(d.Record.Sends),
+		RetryAfterUs: d.Record.RetryAfter.Microseconds(),
+	}
+}
+
+func decodeDelegated(r *front.GatherReply) hysingress.Delegated {
+	return hysingress.Delegated{
+		Response: hysmessage.Response{Status: int(r.Status), Header: decodeHeader(r.Header), Body: r.Body},
+		Record: hysingress.Record{
+			Outcome: hysingress.Outcome(r.Outcome), Reason: r.Reason, Configuration: hysroute.Version(r.Configuration),
+			Shards: int(r.Shards), Answered: int(r.Answered), Sends: int(r.Sends),
+			RetryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond,
+		},
+	}
+}
+
+func encodeHeader(h http.Header) []*front.Field {
+	fields := make([]*front.Field, 0, len(h))
+	for name, values := range h {
+		fields = append(fields, &front.Field{Name: name, Values: values})
+	}
+	return fields
+}
+
+func decodeHeader(fields []*front.Field) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.Name] = f.Values
+	}
+	return h
+}
+
+// usable reports whether an answer is one that a daemon may have given.
+func usable(d hysingress.Delegated) bool {
+	const lastStatus = 599
+	return d.Response.Status >= http.StatusOK && d.Response.Status <= lastStatus && d.Record.Outcome < hysingress.OutcomeAbandoned
+}
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -1,6 +1,6 @@
-// Package hysrelay hands what one frontend daemon has learned from the store to
-// others: to those that follow it instead of the store, and to those that the
-// store does not serve.
+// Package hysrelay lets frontend daemons call each other. One hands what it has
+// learned from the store to others: to those that follow it instead of the store,
+// and to those that the store does not serve. And one gathers queries for others.
 //
 // # Usage
 //
@@ -37,6 +37,9 @@
 	maxWait = 2 * time.Second
 )
 
+// maxQuestion bounds what another daemon may ask, in bytes.
+const maxQuestion = 4 << 20
+
 // Cursor tells up to where the news of a daemon have been taken over.
 type Cursor struct {
 	// Source tells the starts of the daemon apart.
@@ -76,13 +79,14 @@
 type TellFunc func(context.Context, Question) News
 
 type server struct {
-	tell TellFunc
+	tell   TellFunc
+	gather GatherFunc
 }
 
-// NewHandler serves what this daemon has learned.
-func NewHandler(tell TellFunc) http.Handler {
+// NewHandler serves what this daemon has learned, and gathers queries for others.
+func NewHandler(tell TellFunc, gather GatherFunc) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(frontconnect.NewFrontServiceHandler(&server{tell: tell}))
+	mux.Handle(frontconnect.NewFrontServiceHandler(&server{tell: tell, gather: gather}, connect.WithReadMaxBytes(maxQuestion)))
 	return mux
 }
 
@@ -145,6 +149,7 @@
 	for _, i := range n.Instances {
 		r.Instances = append(r.Instances, &front.Instance{
 			Id: string(i.ID), Address: string(i.Address), Zone: string(i.Zone), Region: string(i.Region),
+			ProcessorShare: i.ProcessorShare,
 		})
 	}
 	r.Leavers = encodeLeavers(n.Searchers.Leavers)
@@ -191,7 +196,7 @@
 	for _, i := range r.Instances {
 		n.Instances = append(n.Instances, hysmember.Instance{
 			ID: hysmember.InstanceID(i.Id), Address: hysmember.Address(i.Address),
-			Zone: hysmember.Zone(i.Zone), Region: hysmember.Region(i.Region),
+			Zone: hysmember.Zone(i.Zone), Region: hysmember.Region(i.Region), ProcessorShare: i.ProcessorShare,
 		})
 	}
 	n.Searchers.Leavers = decodeLeavers(r.Leavers)
