--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -102,6 +102,7 @@
 	for _, gatherer := range f.delegates.Pick(f.settings.Instance, g.own) {
 		began := time.Now()
 		answer, err := f.relayed.Gather(ctx, gatherer.Address, d)
+		f.metrics.ObserveDelegation(delegationResult(err))
 		if err == nil {
 			answer.Instance = string(gatherer.ID)
 			return answer, d.UsedAttempts, nil
@@ -122,6 +123,21 @@
 	return hysingress.Delegated{}, d.UsedAttempts, fmt.Errorf("delegate: %w", last)
 }
 
+// delegationResult is how handing a query over has ended, for the metrics.
+func delegationResult(err error) string {
+	var declined *hysingress.Declined
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.As(err, &declined):
+		return "declined"
+	case errors.Is(err, hysingress.ErrLost):
+		return "lost"
+	default:
+		return "silent"
+	}
+}
+
 // noteGatherer leaves a gatherer out for a while. It reports whether it certainly
 // has run nothing.
 func (f *Front) noteGatherer(id hysmember.InstanceID, err error) bool {
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -50,7 +50,12 @@
 
 // observe counts and logs a request that has ended.
 func (f *Front) observe(r hysingress.Record) {
-	f.metrics.ObserveRequest(string(r.Route), r.Outcome.String(), r.Latency, r.Sends)
+	if r.Delegated {
+		// The instance whose caller it is counts the request.
+		f.metrics.ObserveDelegation("for-another")
+	} else {
+		f.metrics.ObserveRequest(string(r.Route), r.Outcome.String(), r.Latency, r.Sends)
+	}
 	level := slog.LevelInfo
 	if r.Outcome != hysingress.OutcomeServed && r.Outcome != hysingress.OutcomePartial {
 		level = slog.LevelWarn
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -41,6 +41,10 @@
 // way back to the caller.
 const replyMargin = 14 * time.Millisecond
 
+// hopMargin is how much longer the way back is from an instance that gathers for
+// another one.
+const hopMargin = 7 * time.Millisecond
+
 // maxReadAhead bounds a body while the configuration sets no limit, in bytes.
 const maxReadAhead = 1 << 20
 
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysgather"
@@ -23,7 +24,7 @@
 		Submit: e.ingress.Submit, Deadline: e.deadline,
 		Policy: hyspartial.Policy{
 			Shards: len(shards), Minimum: e.route.MinimumShards(),
-			Goal: e.start.Add(max(e.route.Goal-replyMargin, e.route.Goal/2)),
+			Goal: e.start.Add(max(e.route.Goal-e.replyMargin(), e.route.Goal/2)),
 		},
 	}
 	for _, service := range shards {
@@ -52,6 +53,14 @@
 	}
 }
 
+// replyMargin is how long before the goal a partial answer is given.
+func (e *exchange) replyMargin() time.Duration {
+	if e.delegated {
+		return replyMargin + hopMargin
+	}
+	return replyMargin
+}
+
 // missing says why shards have no part.
 func missing(shards []hysservice.Name, r hysgather.Spreading) []Missing {
 	var all []Missing
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -152,6 +152,12 @@
 	scope.Histogram("route_request_seconds", m.buckets).RecordDuration(latency)
 }
 
+// ObserveDelegation counts a query that was handed to another instance, by how that
+// ended, or one that was gathered for another instance.
+func (m *Metrics) ObserveDelegation(result string) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("delegations_total").Inc(1)
+}
+
 // ObserveSend counts a send to a searcher by how it ended.
 func (m *Metrics) ObserveSend(service, result string, latency time.Duration) {
 	scope := m.scope.Tagged(map[string]string{"service": m.label(m.services, maxServices, service)})
--- /dev/null
+++ b/io/hysrelay/gather_test.go
@@ -0,0 +1,156 @@
+package hysrelay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysmessage"
+	"hyssopshore/io/hysingress"
+	"hyssopshore/io/hysrelay"
+)
+
+var errBusy = &hysingress.Declined{Reason: "busy", RetryAfter: 250 * time.Millisecond}
+
+var _ = Describe("a query that is handed to a daemon", func() {
+	var client *hysrelay.Client
+	var query hysingress.Delegation
+
+	BeforeEach(func() {
+		client = hysrelay.NewClient()
+		DeferCleanup(client.Close)
+		query = hysingress.Delegation{
+			Message: &hysmessage.Request{
+				Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "rota.example",
+				Header: http.Header{"X-Id": {"r-1"}, "X-Two": {"1", "2"}}, Body: []byte("body"),
+			},
+			Start: time.Now().Add(-40 * time.Millisecond), Goal: 100 * time.Millisecond, Configuration: 7, UsedAttempts: 1,
+		}
+	})
+
+	gathererOf := func(gather hysrelay.GatherFunc) hysmember.Address {
+		server := httptest.NewServer(hysrelay.NewHandler(nil, gather))
+		DeferCleanup(server.Close)
+		return hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
+	}
+
+	It("comes as it was sent, and its answer too", func(ctx SpecContext) {
+		want := hysingress.Delegated{
+			Response: hysmessage.Response{Status: 503, Header: http.Header{"Retry-After": {"0.25"}}, Body: []byte("later")},
+			Record: hysingress.Record{
+				Outcome: hysingress.OutcomeRefused, Reason: "full", Configuration: 9, Shards: 10, Answered: 4, Sends: 6,
+				RetryAfter: 250 * time.Millisecond,
+			},
+		}
+		var got hysingress.Delegation
+		address := gathererOf(func(_ context.Context, d hysingress.Delegation, accept func() error) (hysingress.Delegated, error) {
+			got = d
+			return want, accept()
+		})
+		answer, err := client.Gather(ctx, address, query)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer).To(Equal(want))
+		Expect(got.Message).To(Equal(query.Message))
+		Expect(got.Configuration).To(Equal(query.Configuration))
+		Expect(got.UsedAttempts).To(Equal(1))
+		Expect(got.Start).To(BeTemporally("~", query.Start, 30*time.Millisecond))
+	})
+
+	It("may be declined, with a time to come back", func(ctx SpecContext) {
+		address := gathererOf(func(context.Context, hysingress.Delegation, func() error) (hysingress.Delegated, error) {
+			return hysingress.Delegated{}, errBusy
+		})
+		_, err := client.Gather(ctx, address, query)
+		var declined *hysingress.Declined
+		Expect(errors.As(err, &declined)).To(BeTrue())
+		Expect(declined).To(Equal(errBusy))
+	})
+
+	It("is not waited for if it is not accepted in time", func(ctx SpecContext) {
+		ended := make(chan struct{})
+		address := gathererOf(func(ctx context.Context, _ hysingress.Delegation, _ func() error) (hysingress.Delegated, error) {
+			<-ctx.Done()
+			close(ended)
+			return hysingress.Delegated{}, ctx.Err()
+		})
+		began := time.Now()
+		_, err := client.Gather(ctx, address, query)
+		Expect(err).To(MatchError(hysrelay.ErrSilent))
+		Expect(err).NotTo(MatchError(hysingress.ErrLost))
+		Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		Eventually(ended, "1s").Should(BeClosed(), "the daemon hears of it")
+	})
+
+	It("is lost with a daemon that has accepted it and fails", func(ctx SpecContext) {
+		address := gathererOf(func(_ context.Context, _ hysingress.Delegation, accept func() error) (hysingress.Delegated, error) {
+			Expect(accept()).To(Succeed())
+			panic(http.ErrAbortHandler)
+		})
+		_, err := client.Gather(ctx, address, query)
+		Expect(err).To(MatchError(hysingress.ErrLost))
+	})
+
+	It("is lost with a daemon that has accepted it and gives no answer of a daemon", func(ctx SpecContext) {
+		address := gathererOf(func(_ context.Context, _ hysingress.Delegation, accept func() error) (hysingress.Delegated, error) {
+			return hysingress.Delegated{Response: hysmessage.Response{Status: 42}}, accept()
+		})
+		_, err := client.Gather(ctx, address, query)
+		Expect(err).To(MatchError(hysingress.ErrLost))
+		Expect(err).To(MatchError(hysrelay.ErrMalformed))
+	})
+
+	It("is given up soon after a part of its goal if the daemon has lost its power", func(ctx SpecContext) {
+		hang := make(chan struct{})
+		target := gathererOf(func(_ context.Context, _ hysingress.Delegation, accept func() error) (hysingress.Delegated, error) {
+			Expect(accept()).To(Succeed())
+			<-hang
+			return hysingress.Delegated{}, errBusy
+		})
+		DeferCleanup(func() { close(hang) })
+		// One connection works, and none after it.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go passFirst(listener, target)
+		began := time.Now()
+		_, err = client.Gather(ctx, hysmember.Address(listener.Addr().String()), query)
+		Expect(err).To(MatchError(hysingress.ErrLost))
+		Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+
+	It("is refused by what is no daemon", func(ctx SpecContext) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }))
+		DeferCleanup(server.Close)
+		_, err := client.Gather(ctx, hysmember.Address(strings.TrimPrefix(server.URL, "http://")), query)
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(MatchError(hysingress.ErrLost))
+	})
+})
+
+// passFirst passes the first connection on to an address, and leaves all others
+// open without a byte.
+func passFirst(listener net.Listener, target hysmember.Address) {
+	first, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	onward, err := net.Dial("tcp", string(target))
+	if err != nil {
+		return
+	}
+	go func() { _, _ = onward.(*net.TCPConn).ReadFrom(first) }()
+	go func() { _, _ = first.(*net.TCPConn).ReadFrom(onward) }()
+	for {
+		if _, err := listener.Accept(); err != nil {
+			return
+		}
+	}
+}
