--- a/io/hysfront/gather_test.go
+++ b/io/hysfront/gather_test.go
@@ -70,6 +70,12 @@
 	var taker, gatherer *daemon
 	var one, other *countedSearcher
 	var shared *store
+	// reach is where the others reach the gatherer.
+	var reach func(hysmember.Address) hysmember.Address
+
+	BeforeEach(func() {
+		reach = func(address hysmember.Address) hysmember.Address { return address }
+	})
 
 	// startAll starts a daemon and a gatherer, beside another gatherer at an
 	// address and weak daemons that are only listed.
@@ -79,6 +85,7 @@
 		taker.settings.ProcessorShare, gatherer.settings.ProcessorShare = weak, strong
 		all := hysmember.Instances{taker.instance(), gatherer.instance()}
 		all[0].ProcessorShare, all[1].ProcessorShare = weak, strong
+		all[1].Address = reach(all[1].Address)
 		all = append(all, hysmember.Instance{ID: "second", Address: second, Zone: "z", Region: "r", ProcessorShare: strong})
 		for n := range 9 {
 			all = append(all, hysmember.Instance{
@@ -148,6 +155,51 @@
 		Expect(taker.log.String()).To(ContainSubstring("the daemon is stopping"))
 	})
 
+	It("is left to a gatherer that is only slow", func() {
+		startAll(70, "127.0.0.1:1")
+		taker.askFor("/query/1")
+		before, handed := one.requests.Load(), handedOver()
+		// Longer than the part of the goal after which the gatherer is probed.
+		one.slow.Store(int64(750 * time.Millisecond))
+		status, _ := taker.askFor("/query/2")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(handedOver()).To(Equal(handed + 1))
+		Expect(one.requests.Load()-before).To(BeNumerically("<=", 2), "the attempts of the route")
+	})
+
+	It("is run by no more searchers than its route allows though a gatherer wakes late", func() {
+		reach = func(address hysmember.Address) hysmember.Address {
+			proxy := hystest.NewProxy(address)
+			DeferCleanup(proxy.Close)
+			proxy.SetDelay(60 * time.Millisecond)
+			return proxy.Address()
+		}
+		startAll(80, "127.0.0.1:1")
+		before := one.requests.Load()
+		one.slow.Store(int64(300 * time.Millisecond))
+		status, _ := taker.askFor("/query/2")
+		Expect(taker.log.String()).To(ContainSubstring("the gatherer is silent"))
+		Expect(status).To(BeElementOf(http.StatusOK, http.StatusBadGateway))
+		Consistently(func() int64 { return one.requests.Load() - before }, "500ms").Should(BeNumerically("<=", 2))
+	})
+
+	It("is answered though strangers send anything to the daemons' ports", func() {
+		startAll(90, "127.0.0.1:1")
+		for _, bytes := range []string{"\x00\x01\x02", "GET / HTTP/1.1\r\n\r\n", strings.Repeat("x", 1<<20),
+			"POST /hyssopshore.front.v1.FrontService/Gather HTTP/1.1\r\nHost: x\r\nContent-Type: application/connect+proto\r\nContent-Length: 9\r\n\r\n\x00\xff\xff\xff\xffrest"} {
+			for _, d := range []*daemon{taker, gatherer} {
+				for _, address := range []hysmember.Address{d.settings.PeerAddress, d.settings.CallerAddress, d.settings.ReadinessAddress} {
+					conn, err := net.Dial("tcp", string(address))
+					Expect(err).NotTo(HaveOccurred())
+					_, _ = io.WriteString(conn, bytes)
+					_ = conn.Close()
+				}
+			}
+		}
+		status, _ := taker.askFor("/query/1")
+		Expect(status).To(Equal(http.StatusOK))
+	})
+
 	It("is cancelled at the searchers when its caller leaves", func() {
 		startAll(50, "127.0.0.1:1")
 		taker.askFor("/query/1")
--- a/io/hysfront/leaver_test.go
+++ b/io/hysfront/leaver_test.go
@@ -102,6 +102,20 @@
 		}
 	})
 
+	It("is not used again by a daemon that is restarted while the store is away", func() {
+		leaver := newLeavingSearcher("s-1", "roll")
+		knows := start(&store{version: 1, revision: 5, entries: hysmember.Entries{leaver.entry}}, "127.0.0.33")
+		Eventually(knows.ready, "3s").Should(Equal(http.StatusOK))
+		knows.ask()
+		Eventually(knows.log.String, "1s").Should(ContainSubstring("searcher says that it is leaving"))
+		restarted := start(&store{away: true, peers: hysmember.Instances{knows.instance()}}, "127.0.0.34")
+		Eventually(restarted.ready, "4s").Should(Equal(http.StatusOK))
+		before := leaver.requests.Load()
+		status, _ := restarted.ask()
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(leaver.requests.Load()).To(Equal(before))
+	})
+
 	It("is known as leaving to the daemons of the zone, from a follower to the reader and back", func() {
 		leaver := newLeavingSearcher("s-1", "roll")
 		one, other, third := newDaemon("127.0.0.23"), newDaemon("127.0.0.24"), newDaemon("127.0.0.25")
