Tell others as known only what does not wait for its return

Ruled out: a list that was not read (all three daemons of the zone logged the neighbouring removals within 0.3 s).

Now the revision that others are told ends before the oldest removal that is still waited out.

--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -257,6 +257,18 @@
 	return x
 }
 
+// Settled is up to which revision, but no further than a given one, nothing waits
+// for its return. What others are told as known must not go further: a daemon that
+// goes on from there reads the removals itself that are still waited out here.
+func (d *Directory) Settled(upTo Revision) Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.missing {
+		upTo = min(upTo, d.removed[id]-1)
+	}
+	return upTo
+}
+
 // Digest is that of all entries.
 func (d *Directory) Digest() Digest {
 	d.mu.Lock()
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -28,6 +28,8 @@
 	Seq     int64                   `json:"seq"`
 	Drains  json.RawMessage         `json:"leaving"`
 	Want    string                  `json:"want"`
+	// Settled is the revision up to which nothing waits, of 100.
+	Settled hysmember.Revision      `json:"settled"`
 	Listed  *[]hysmember.SearcherID `json:"listed"`
 }
 
@@ -79,6 +81,10 @@
 }
 
 func (s directoryStep) look(d *hysmember.Directory) {
+	if s.Settled != 0 {
+		Expect(d.Settled(100)).To(Equal(s.Settled))
+		return
+	}
 	listed, leaving := []hysmember.SearcherID{}, []hysmember.SearcherID{}
 	for _, e := range d.Entries() {
 		listed = append(listed, e.Searcher.ID)
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -136,6 +136,12 @@
 	return func(f *Front) { f.droppedLines = count }
 }
 
+// WithGathererTimeout replaces how long a gatherer may take to say that it takes a
+// query.
+func WithGathererTimeout(span time.Duration) Option {
+	return func(f *Front) { f.relayed = hysrelay.NewClient(hysrelay.WithAcceptTimeout(span)) }
+}
+
 // New returns a daemon that is not yet started.
 func New(s Settings, source Source, headers hysingress.Headers, log *slog.Logger, options ...Option) *Front {
 	f := &Front{
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysfront"
 )
 
@@ -14,6 +16,8 @@
 	var entries hysmember.Entries
 	var reader, follower *daemon
 	var readerStore, followerStore *store
+	// link is how the follower reaches the reader.
+	var link *hystest.Proxy
 
 	// watched returns how often a daemon has watched the store.
 	watched := func(s *store) func() int {
@@ -33,6 +37,13 @@
 		if _, ok := all.Reader(reader.settings.Instance); ok {
 			reader, follower = follower, reader
 		}
+		link = hystest.NewProxy(reader.settings.PeerAddress)
+		DeferCleanup(link.Close)
+		for i := range all {
+			if all[i].ID == reader.settings.Instance {
+				all[i].Address = link.Address()
+			}
+		}
 		readerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
 		followerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
 		reader.start(readerStore)
@@ -102,6 +113,30 @@
 		Expect(follower.ready()).To(Equal(http.StatusOK))
 	})
 
+	It("goes on from before what the other one still waits for, once that has stopped", func() {
+		startBoth("127.0.0.35", "127.0.0.36")
+		readerStore.set(func() { readerStore.away = true })
+		Eventually(reader.log.String, "2s").Should(ContainSubstring("store lost"))
+		readerStore.set(func() {
+			readerStore.away = false
+			// The removal may be a lapse, and is waited out for 2.2 s.
+			readerStore.changes = []hysfront.Changes{{Revision: 40, Events: 1, Updates: []hysfront.Update{{ID: "s-1", Removed: true, Revision: 30}}}}
+		})
+		Eventually(func() bool {
+			readerStore.mu.Lock()
+			defer readerStore.mu.Unlock()
+			return len(readerStore.changes) == 0 && readerStore.after >= 40
+		}, "3s").Should(BeTrue())
+		// The follower hears of it once more, then it loses the reader.
+		time.Sleep(700 * time.Millisecond)
+		before := watched(followerStore)()
+		link.Close()
+		Eventually(watched(followerStore), "2s").Should(BeNumerically(">", before))
+		followerStore.mu.Lock()
+		defer followerStore.mu.Unlock()
+		Expect(followerStore.after).To(BeNumerically("<", 30), "the removal is told again")
+	})
+
 	It("reads the store itself while the other one lags behind it", func() {
 		startBoth("127.0.0.27", "127.0.0.28")
 		readerStore.set(func() { readerStore.backlog = true })
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -188,7 +188,7 @@
 		return hysrelay.News{}
 	}
 	// The age is taken first: what comes meanwhile only makes it too high.
-	n := hysrelay.News{Age: f.knowledge.age(), Revision: f.knowledge.upTo()}
+	n := hysrelay.News{Age: f.knowledge.age(), Revision: f.directory.Settled(f.knowledge.upTo())}
 	n.Searchers = f.directory.Since(since)
 	n.Cursor = hysrelay.Cursor{Source: f.start, Version: n.Searchers.Version}
 	f.mu.Lock()
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -28,8 +28,7 @@
 
 // Times of a gatherer.
 const (
-	// acceptTimeout is how long a gatherer may take to say that it takes a query.
-	acceptTimeout = 20 * time.Millisecond
+	defaultAcceptTimeout = 20 * time.Millisecond
 	// probePart is the part of a query's goal after which a gatherer that has not
 	// answered is probed, probeTimeout how long that may take.
 	probePart    = 0.6
@@ -71,7 +70,7 @@
 func (c *Client) Gather(ctx context.Context, address hysmember.Address, d hysingress.Delegation) (hysingress.Delegated, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silent := time.AfterFunc(acceptTimeout, func() { cancel(ErrSilent) })
+	silent := time.AfterFunc(c.acceptTimeout, func() { cancel(ErrSilent) })
 	defer silent.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
 	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d)))
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -103,12 +103,28 @@
 // Client asks other daemons. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// acceptTimeout is how long a gatherer may take to say that it takes a query.
+	acceptTimeout time.Duration
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithAcceptTimeout replaces how long a gatherer may take to say that it takes a
+// query.
+func WithAcceptTimeout(span time.Duration) Option {
+	return func(c *Client) { c.acceptTimeout = span }
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client {
+func NewClient(options ...Option) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleTimeout}}}
+	transport := &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleTimeout}
+	c := &Client{http: &http.Client{Transport: transport}, acceptTimeout: defaultAcceptTimeout}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Follow asks a daemon for its news since a cursor, and waits for some.
