Gather a query itself after one silent gatherer

A daemon asked a second gatherer after a silent one; with both silent the two attempts of the route counted as used, and the caller was told that the request may have run. With all gatherers of a region without power each daemon gave its next callers such an answer.

Now a daemon gathers itself after the first one that may have begun unseen, with the attempts that are left; only one that has certainly not begun is followed by another. The new spec got 502 before.

--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -92,7 +92,8 @@
 
 // delegate hands a query to a gatherer, unless this daemon is one or none takes
 // it. One that has not said whether it takes the query may send each part once
-// before it notices that it is no longer wanted.
+// before it notices that it is no longer wanted; this daemon then gathers the query
+// itself, with the attempts that are left.
 func (f *Front) delegate(ctx context.Context, d hysingress.Delegation) (hysingress.Delegated, int, error) {
 	g := f.gathering.Load()
 	if g == nil || g.gathers {
@@ -111,12 +112,11 @@
 			return hysingress.Delegated{}, d.UsedAttempts, fmt.Errorf("delegate: %w", err)
 		}
 		last = err
-		if !f.noteGatherer(gatherer.ID, err) {
-			d.UsedAttempts++
-		}
+		unrun := f.noteGatherer(gatherer.ID, err)
 		f.log.Info("query not taken by gatherer", "id", d.ID, "gatherer", gatherer.ID,
 			"error", err, "ms", time.Since(began).Milliseconds())
-		if errors.Is(err, hysingress.ErrLost) {
+		if !unrun {
+			d.UsedAttempts++
 			break
 		}
 	}
--- a/io/hysfront/gather_test.go
+++ b/io/hysfront/gather_test.go
@@ -137,6 +137,17 @@
 		Expect(silences).To(BeNumerically("<=", 1), "a silent one is left out for a while")
 	})
 
+	It("is gathered by the daemon itself at once if all gatherers are silent", func() {
+		reach = func(hysmember.Address) hysmember.Address { return silentAddress("127.0.1.108") }
+		timeout = 100 * time.Millisecond
+		startAll(100, silentAddress("127.0.1.109"))
+		for range 3 {
+			status, _ := taker.askFor("/query/1")
+			Expect(status).To(Equal(http.StatusOK))
+		}
+		Expect(one.requests.Load()).To(BeNumerically("<=", 3+1))
+	})
+
 	It("is gathered by the daemon itself if no gatherer answers", func() {
 		timeout = 100 * time.Millisecond
 		startAll(30, silentAddress("127.0.1.39"))
