--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -86,7 +86,7 @@
 	}
 	now := t.now()
 	if rest := s.rest(now); rest > c.sub.allowance(now) {
-		return notSent(c.sub, hysquery.ShardOverloaded, "every searcher of the shard has asked for rest", rest), true
+		return notSent(c.sub, hysquery.ShardOverloaded, "no searcher of the shard may be sent to for now", rest), true
 	}
 	wait := s.wait(now, c.item(s, nil))
 	if now.Add(wait + s.mean).After(c.sub.Deadline) {
@@ -124,7 +124,7 @@
 	slices.Sort(rests)
 	now, wait := d.now(), waits[minimum-1]
 	if rest := rests[minimum-1]; rest > first.allowance(now) {
-		return notSent(*first, hysquery.ShardOverloaded, "the searchers of too many shards have asked for rest", rest), false
+		return notSent(*first, hysquery.ShardOverloaded, "too few shards have a searcher that may be sent to now", rest), false
 	}
 	part := admitted(wait, first.allowance(now))
 	if first.drawn() > part {
--- a/core/hysdispatch/restraint.go
+++ b/core/hysdispatch/restraint.go
@@ -18,7 +18,8 @@
 // a time, or nothing any more since it is leaving. It answers two loads: a
 // searcher that turns requests away and needs rest to recover, and one that
 // serves on for a while after it has said that it leaves, which ends what is
-// sent too late. It holds for one start of the searcher whatever the list says
+// sent too late. It holds at once, here; that others learn of a searcher that leaves
+// is up to the membership. It holds for one start of the searcher whatever the list says
 // of it meanwhile, also if the searcher is dropped from the list and comes back.
 type restraint struct {
 	incarnation uint64
--- a/core/hysgather/delegates.go
+++ b/core/hysgather/delegates.go
@@ -23,6 +23,29 @@
 // gathers itself.
 const maxDelegates = 2
 
+//go:generate go tool stringer -type=DelegationEnd -linecomment -output=enum_string.go
+
+// DelegationEnd is how a query that was handed to a gatherer has ended.
+type DelegationEnd uint8
+
+// The ends of a delegation.
+const (
+	DelegationAnswered DelegationEnd = iota // answered
+	// DelegationDeclined is one that the gatherer has not taken.
+	DelegationDeclined // declined
+	// DelegationRefused is a gatherer that nothing listens for.
+	DelegationRefused // refused
+	// DelegationSilent is a gatherer that has not said whether it takes the query.
+	DelegationSilent // silent
+	// DelegationLost is a gatherer that has taken the query and gives no answer.
+	DelegationLost // lost
+)
+
+// Unrun reports whether the gatherer certainly has run nothing.
+func (e DelegationEnd) Unrun() bool {
+	return e == DelegationDeclined || e == DelegationRefused
+}
+
 // Delegates tells which gatherers an instance hands its queries to. It answers the
 // load of gatherers that are lost, frozen or full: each costs one query the time
 // in which it should have accepted, and the next queries go elsewhere. It is safe
@@ -68,15 +91,16 @@
 	return awake
 }
 
-// Silent notes that a gatherer did not answer.
-func (d *Delegates) Silent(id hysmember.InstanceID) { d.rest(id, silentRest) }
-
-// Declined notes that a gatherer takes nothing for a time.
-func (d *Delegates) Declined(id hysmember.InstanceID, span time.Duration) {
-	d.rest(id, min(max(span, minDeclinedRest), maxDeclinedRest))
-}
-
-func (d *Delegates) rest(id hysmember.InstanceID, span time.Duration) {
+// Note takes over how a query that was handed to a gatherer has ended. One that has
+// declined has said for how long it takes nothing.
+func (d *Delegates) Note(id hysmember.InstanceID, e DelegationEnd, declined time.Duration) {
+	span := silentRest
+	switch e {
+	case DelegationAnswered:
+		return
+	case DelegationDeclined:
+		span = min(max(declined, minDeclinedRest), maxDeclinedRest)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.resting[id] = d.now().Add(span)
--- a/io/hysconn/conn.go
+++ b/io/hysconn/conn.go
@@ -1,5 +1,5 @@
 // Package hysconn holds what all clients of backend servers need of their
-// connections: whether one that lies idle can still be used, and a bound on what
+// connections: whether one that lies idle can still be used, and bounds on what
 // is read from it.
 //
 // # Usage
@@ -9,6 +9,7 @@
 //	r := hysconn.NewReader(conn, memory)
 //	r.Begin(headBytes)
 //	defer r.End()
+//	body, err := hysconn.ReadBody(response.Body)
 package hysconn
 
 import (
--- a/io/hysconn/reader.go
+++ b/io/hysconn/reader.go
@@ -39,13 +39,6 @@
 // Limit is the number of bytes.
 func (m *Memory) Limit() int64 { return m.limit }
 
-// Held returns how many bytes are held now.
-func (m *Memory) Held() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.held
-}
-
 func (m *Memory) take(bytes int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/hysforward/connection.go
+++ b/io/hysforward/connection.go
@@ -5,7 +5,6 @@
 	"context"
 	stderrors "errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -201,11 +200,12 @@
 		return received{}, err
 	}
 	c.bounds.Allow(c.maxBody)
-	body, err := io.ReadAll(response.Body)
+	body, err := hysconn.ReadBody(response.Body)
 	closeErr := response.Body.Close()
 	if err := stderrors.Join(err, closeErr); err != nil {
 		return received{}, fmt.Errorf("body: %w: %w", ErrGarbled, err)
 	}
+	// The response may be to another request, and the own one come after it.
 	c.bounds.Allow(maxHead)
 	c.kept, c.keeps = true, idleTime(response.Header)
 	c.expires = time.Now().Add(c.keeps)
--- a/io/hysforward/endless_test.go
+++ b/io/hysforward/endless_test.go
@@ -1,12 +1,9 @@
 package hysforward_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -20,14 +17,10 @@
 	"hyssopshore/io/hysforward"
 )
 
-// endlessCase is one case of testdata/endless.json: a searcher that begins a
-// response and then repeats some bytes until the connection is closed.
+// endlessCase is one case of testdata/endless.json.
 type endlessCase struct {
-	Name   string `json:"name"`
-	Begin  string `json:"begin"`
-	Repeat string `json:"repeat"`
-	// PauseMS is the time between two repeats.
-	PauseMS int `json:"pause-ms"`
+	Name string `json:"name"`
+	hystest.Endless
 }
 
 const (
@@ -40,38 +33,6 @@
 	endlessTime  = 1500 * time.Millisecond
 )
 
-// serveEndless answers each request without end.
-func serveEndless(c endlessCase) net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go c.answer(conn)
-		}
-	}()
-	return listener
-}
-
-func (c endlessCase) answer(conn net.Conn) {
-	defer conn.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-		return
-	}
-	_, err := conn.Write([]byte(c.Begin))
-	block := []byte(c.Repeat)
-	for c.PauseMS == 0 && len(block) < 32<<10 {
-		block = append(block, c.Repeat...)
-	}
-	for err == nil {
-		_, err = conn.Write(block)
-		time.Sleep(time.Duration(c.PauseMS) * time.Millisecond)
-	}
-}
-
 var _ = Describe("a response without end", func() {
 	var cases []endlessCase
 	data, err := os.ReadFile("testdata/endless.json")
@@ -83,7 +44,7 @@
 	}
 	for _, c := range cases {
 		It("is given up within bounds, and other requests go on: "+c.Name, func() {
-			endless := serveEndless(c)
+			endless, address := c.Serve()
 			defer endless.Close()
 			sound := serve(responseCase{Send: "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Sig: s\r\nContent-Length: 4\r\n\r\nbody"})
 			defer sound.listener.Close()
@@ -93,7 +54,7 @@
 			for i := range endlessSends {
 				wait.Go(func() {
 					defer GinkgoRecover()
-					s := hysmember.Searcher{ID: hysmember.SearcherID(fmt.Sprint("e-", i)), Address: hysmember.Address(endless.Addr().String())}
+					s := hysmember.Searcher{ID: hysmember.SearcherID(fmt.Sprint("e-", i)), Address: address}
 					sub, started := request(0), time.Now()
 					sub.Deadline = started.Add(endlessTime)
 					ctx, stop := context.WithDeadline(context.Background(), sub.Deadline)
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -1,5 +1,6 @@
 // Package hysfront runs a frontend daemon: it takes callers' requests as they
-// are, and dispatches them itself to the searchers that the store lists.
+// are, and dispatches them to the searchers that the store lists. Where daemons are
+// many, it hands whole queries to one of the few that gather for its region.
 //
 // Nothing is kept by the instance and nothing is agreed on between daemons: the
 // routes and the searchers come from the store, and each daemon has a share of
--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysingress"
@@ -103,7 +104,8 @@
 	for _, gatherer := range f.delegates.Pick(f.settings.Instance, g.own) {
 		began := time.Now()
 		answer, err := f.relayed.Gather(ctx, gatherer.Address, d)
-		f.metrics.ObserveDelegation(delegationResult(err))
+		end, declined := delegationEnd(err)
+		f.metrics.ObserveDelegation(end.String())
 		if err == nil {
 			answer.Instance = string(gatherer.ID)
 			return answer, d.UsedAttempts, nil
@@ -112,10 +114,10 @@
 			return hysingress.Delegated{}, d.UsedAttempts, fmt.Errorf("delegate: %w", err)
 		}
 		last = err
-		unrun := f.noteGatherer(gatherer.ID, err)
-		f.log.Info("query not taken by gatherer", "id", d.ID, "gatherer", gatherer.ID,
+		f.delegates.Note(gatherer.ID, end, declined)
+		f.log.Info("query not taken by gatherer", "id", d.ID, "gatherer", gatherer.ID, "end", end.String(),
 			"error", err, "ms", time.Since(began).Milliseconds())
-		if !unrun {
+		if !end.Unrun() {
 			d.UsedAttempts++
 			break
 		}
@@ -123,33 +125,24 @@
 	return hysingress.Delegated{}, d.UsedAttempts, fmt.Errorf("delegate: %w", last)
 }
 
-// delegationResult is how handing a query over has ended, for the metrics.
-func delegationResult(err error) string {
+// delegationEnd is how a hand-over has ended, and for how long a gatherer that has
+// declined takes nothing.
+func delegationEnd(err error) (hysgather.DelegationEnd, time.Duration) {
 	var declined *hysingress.Declined
 	switch {
 	case err == nil:
-		return "answered"
+		return hysgather.DelegationAnswered, 0
 	case errors.As(err, &declined):
-		return "declined"
+		return hysgather.DelegationDeclined, declined.RetryAfter
 	case errors.Is(err, hysingress.ErrLost):
-		return "lost"
+		return hysgather.DelegationLost, 0
+	case errors.Is(err, unix.ECONNREFUSED):
+		return hysgather.DelegationRefused, 0
 	default:
-		return "silent"
+		return hysgather.DelegationSilent, 0
 	}
 }
 
-// noteGatherer leaves a gatherer out for a while. It reports whether it certainly
-// has run nothing.
-func (f *Front) noteGatherer(id hysmember.InstanceID, err error) bool {
-	var declined *hysingress.Declined
-	if errors.As(err, &declined) {
-		f.delegates.Declined(id, declined.RetryAfter)
-		return true
-	}
-	f.delegates.Silent(id)
-	return errors.Is(err, unix.ECONNREFUSED)
-}
-
 // gather answers a query of another daemon.
 func (f *Front) gather(ctx context.Context, d hysingress.Delegation, accept func() error) (hysingress.Delegated, error) {
 	taken := 0
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -1,6 +1,9 @@
 // Package hysingress serves callers whose requests are passed on as they are:
 // any method, path and body, by the routes of the configuration.
 //
+// A query over shards may be handed to another instance, which answers it as if its
+// caller had come there.
+//
 // A request is matched once, at the version of the configuration that holds
 // when its head has been read, and answered from that version alone.
 //
--- a/io/hyssearch/connection.go
+++ b/io/hyssearch/connection.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -62,7 +61,7 @@
 	}
 	defer response.Body.Close()
 	c.bounds.Allow(maxReply)
-	data, err := io.ReadAll(response.Body)
+	data, err := hysconn.ReadBody(response.Body)
 	if err != nil {
 		return fmt.Errorf("read body of %s: %w", path, err)
 	}
--- a/io/hyssearch/endless_test.go
+++ b/io/hyssearch/endless_test.go
@@ -1,10 +1,7 @@
 package hyssearch_test
 
 import (
-	"bufio"
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -17,42 +14,13 @@
 	"hyssopshore/io/hyssearch"
 )
 
-// serveEndless begins each reply with some bytes and never ends it.
-func serveEndless(begin, repeat string) net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	block := make([]byte, 0, 32<<10)
-	for len(block) < 32<<10 {
-		block = append(block, repeat...)
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := http.ReadRequest(bufio.NewReader(conn))
-				if err == nil {
-					_, err = conn.Write([]byte(begin))
-				}
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	return listener
-}
-
 var _ = DescribeTable("a reply without end is given up within bounds", func(begin, repeat string) {
 	const sends, heap = 6, 192 << 20
-	listener := serveEndless(begin, repeat)
+	listener, address := hystest.Endless{Begin: begin, Repeat: repeat}.Serve()
 	defer listener.Close()
 	client := hyssearch.New()
 	defer client.Close()
-	to := hysmember.Searcher{ID: "s-1", Address: hysmember.Address(listener.Addr().String())}
+	to := hysmember.Searcher{ID: "s-1", Address: address}
 	grown := hystest.HeapGrowth()
 	var wait sync.WaitGroup
 	for range sends {
