Tell from logs where answers were lost

Cause: a bad afternoon could only be asked about by the id of one request. A line of an answer in part said 'no reply yet, 0 sends' for what was sent and slow and for what never had a searcher, since the answer did not wait for the replies of the sub-requests that it cancelled. Ruled out: taking them before the answer is written; it is flushed first.

'hyssopshore losses' counts by window, route, reason and sends.

The answers themselves are as before; go test of the packages passed.

--- a/cmd/hyssopshore/main.go
+++ b/cmd/hyssopshore/main.go
@@ -36,6 +36,7 @@
 	Service    *serviceCommand    `arg:"subcommand:service" help:"list the services"`
 	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"list the requests that crashed searchers, or lift a quarantine"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show the live state of a daemon"`
+	Losses     *lossesCommand     `arg:"subcommand:losses" help:"show from logs where answers were lost"`
 	Help       *helpCommand       `arg:"subcommand:help" help:"show the usage of a subcommand"`
 }
 
@@ -62,7 +63,7 @@
 	"group": usageGroup, "group list": usageGroup,
 	"service": usageService, "service list": usageService,
 	"quarantine": usageQuarantine, "quarantine list": usageQuarantine, "quarantine lift": usageQuarantine,
-	"status": usageStatus,
+	"status": usageStatus, "losses": usageLosses,
 }
 
 // program is one run of the command.
@@ -144,6 +145,8 @@
 		return args.Quarantine.run(ctx, p)
 	case args.Status != nil:
 		return args.Status.run(ctx, p)
+	case args.Losses != nil:
+		return args.Losses.run(p)
 	case args.Help != nil:
 		return p.help(parser, args.Help.Names)
 	default:
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -44,7 +44,7 @@
 	reply := c.await(ctx, sends, hedge)
 	c.abandon()
 	c.release(ctx, cancel)
-	reply.Sends = len(c.sends)
+	reply.Sends = c.sendsMade()
 	return reply
 }
 
@@ -106,6 +106,14 @@
 // must end for a sub-request to wait for it.
 const backoffPart = 0.5
 
+// sendsMade is how many sends have had a searcher.
+func (c *call) sendsMade() int {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(c.tried())
+}
+
 // otherReplica reports whether a replica is left that has not been tried, and
 // that serves now or soon: when many connections are reset at once, all replicas
 // of a shard may rest for some milliseconds.
@@ -199,7 +207,11 @@
 
 func (c *call) timeout() SubReply {
 	c.abandon()
-	return c.reply(hysquery.ShardTimeout, Result{Reason: "no searcher answered in time"})
+	reason := "no searcher answered in time"
+	if c.sendsMade() == 0 {
+		reason = "no searcher was free in time"
+	}
+	return c.reply(hysquery.ShardTimeout, Result{Reason: reason})
 }
 
 func (c *call) reply(status hysquery.ShardStatus, result Result) SubReply {
--- a/core/hysgather/spread.go
+++ b/core/hysgather/spread.go
@@ -31,6 +31,8 @@
 	// Answered and Lost count the shards with a part and those without one.
 	Answered int
 	Lost     int
+	// rest are the replies that are still to come.
+	rest <-chan indexedReply
 }
 
 // indexedReply is the reply to one of the sub-requests.
@@ -52,7 +54,7 @@
 	}
 	result := Spreading{
 		Replies: make([]hysdispatch.SubReply, len(s.SubRequests)),
-		Replied: make([]bool, len(s.SubRequests)),
+		Replied: make([]bool, len(s.SubRequests)), rest: replies,
 	}
 	goal := time.NewTimer(time.Until(s.Policy.Goal))
 	defer goal.Stop()
@@ -63,7 +65,7 @@
 		}
 		if result.Verdict == hyspartial.VerdictGiveUp {
 			cancel(hysdispatch.ErrEnough)
-			result.takeAll(replies)
+			result.TakeRest()
 		}
 		if result.Verdict != hyspartial.VerdictWait {
 			return result
@@ -86,11 +88,21 @@
 	r.Lost++
 }
 
-// takeAll takes the replies that are still to come, to know of each sub-request
-// whether it may have run. They come at once, since the context has ended.
-func (r *Spreading) takeAll(replies <-chan indexedReply) {
+// Covered tells which shards an answer with the replies so far covers.
+func (r *Spreading) Covered() []bool {
+	covered := make([]bool, len(r.Replies))
+	for i, reply := range r.Replies {
+		covered[i] = r.Replied[i] && HasPart(reply)
+	}
+	return covered
+}
+
+// TakeRest takes the replies that are still to come, to know of each sub-request
+// whether it may have run and why it has not answered. They come at once, since the
+// context has ended. After an answer in part they are no more parts of it.
+func (r *Spreading) TakeRest() {
 	for pending := len(r.Replies) - r.Answered - r.Lost; pending > 0; pending-- {
-		r.take(<-replies)
+		r.take(<-r.rest)
 	}
 }
 
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -81,6 +81,8 @@
 	Status        int
 	Reason        string
 	Latency       time.Duration
+	// Goal is the time within which the answer has its full value.
+	Goal time.Duration
 	// Allowed is how much time the request had.
 	Allowed time.Duration
 	// Returning callers have likely been refused before.
@@ -196,7 +198,7 @@
 		e.reject(http.StatusNotFound, "no route matches")
 		return false
 	}
-	e.route, e.record.Route = route, route.Name
+	e.route, e.record.Route, e.record.Goal = route, route.Name, route.Goal
 	if limit := state.Limits.HeaderBytes; limit > 0 && headBytes(r) > limit {
 		e.reject(http.StatusRequestHeaderFieldsTooLarge, "the head is too large")
 		return false
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -36,14 +36,12 @@
 		return
 	}
 	result := s.Run(ctx)
+	covered := result.Covered()
 	e.record.Answered = result.Answered
-	for _, reply := range result.Replies {
-		e.record.Sends += reply.Sends
-	}
-	e.record.Missing = missing(shards, result)
 	switch {
 	case result.Verdict == hyspartial.VerdictAnswer:
 		e.answer(result)
+		e.flush()
 	case ctx.Err() != nil:
 		e.abandon()
 	case result.NotRun():
@@ -51,6 +49,12 @@
 	default:
 		e.fail(http.StatusGatewayTimeout, firstReason(result))
 	}
+	// The caller has the answer; the log is still to tell what the others are at.
+	result.TakeRest()
+	for _, reply := range result.Replies {
+		e.record.Sends += reply.Sends
+	}
+	e.record.Missing = missing(shards, covered, result.Replies)
 }
 
 // replyMargin is how long before the goal a partial answer is given.
@@ -61,19 +65,18 @@
 	return replyMargin
 }
 
-// missing says why shards have no part.
-func missing(shards []hysservice.Name, r hysgather.Spreading) []Missing {
+// missing says why shards are not covered.
+func missing(shards []hysservice.Name, covered []bool, replies []hysdispatch.SubReply) []Missing {
 	var all []Missing
-	for i, reply := range r.Replies {
-		switch {
-		case !r.Replied[i]:
-			all = append(all, Missing{Service: shards[i], Reason: "no reply yet"})
-		case !hysgather.HasPart(reply):
-			all = append(all, Missing{
-				Service: shards[i], Searcher: reply.Searcher, Status: reply.Status,
-				Reason: reply.Reason, Sends: reply.Sends,
-			})
+	for i, reply := range replies {
+		if covered[i] {
+			continue
+		}
+		m := Missing{Service: shards[i], Searcher: reply.Searcher, Status: reply.Status, Reason: reply.Reason, Sends: reply.Sends}
+		if hysgather.HasPart(reply) {
+			m.Reason = "its part came after the answer"
 		}
+		all = append(all, m)
 	}
 	return all
 }
--- a/io/hysingress/reply.go
+++ b/io/hysingress/reply.go
@@ -1,6 +1,7 @@
 package hysingress
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -97,3 +98,12 @@
 		e.record.Outcome, e.record.Reason = OutcomeAbandoned, "the answer was not taken: "+err.Error()
 	}
 }
+
+// flush sends what was written without waiting for the end of the request. A
+// response that is handed to another instance can't be, and need not.
+func (e *exchange) flush() {
+	err := http.NewResponseController(e.writer).Flush()
+	if err != nil && !errors.Is(err, http.ErrNotSupported) && e.record.Outcome != OutcomeAbandoned {
+		e.record.Outcome, e.record.Reason = OutcomeAbandoned, "the answer was not taken: "+err.Error()
+	}
+}
