Flush only answers in part before the rest of the replies is taken

Ruled out: the gatherers (the test's log shows both tried as meant). A whole answer has no replies left to take, so it needs no flush.

--- a/core/hysbudget/budget.go
+++ b/core/hysbudget/budget.go
@@ -1,5 +1,13 @@
-// Package hysbudget bounds the retries and hedges by a share of the recent
-// requests, so that extra load falls when the backend servers fail.
+// Package hysbudget bounds the retries and hedges by a share of the requests of
+// the last seconds, so that extra load falls when the backend servers fail.
+//
+// It answers this load: a calm time, and then a fault that many requests need a
+// second send for. What the calm requests of the last window have earned may be
+// spent at once, and with it the slack, but in no window more than that.
+//
+// Many instances that each keep to a budget of their own, with a share of the
+// slack, keep to the whole together. An instance that has just started does not
+// know what it has spent before: it has no slack until a window has passed.
 //
 // # Usage
 //
@@ -10,51 +18,129 @@
 // A Budget is safe for concurrent use.
 package hysbudget
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// defaultWindow is the span within which the extra sends are bounded.
+const defaultWindow = 10 * time.Second
+
+// steps is how many parts a window is counted in.
+const steps = 20
+
+// count holds the requests and the extra sends of a step.
+type count struct {
+	earned int
+	spent  int
+}
 
-// Budget is a token bucket that requests fill and extra sends drain.
+// Budget counts requests and extra sends over a sliding window.
 type Budget struct {
 	mu     sync.Mutex
+	now    func() time.Time
 	share  float64
-	limit  float64
-	tokens float64
+	slack  float64
+	window time.Duration
+	// began is when the first step was, slackFrom when the slack may be used.
+	began     time.Time
+	slackFrom time.Time
+	// counts are those of the window and of the step before it, by the number of
+	// the step; newest is the last of them.
+	counts [steps + 1]count
+	newest int64
+}
+
+// Option changes a Budget.
+type Option func(*Budget)
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option {
+	return func(b *Budget) { b.now = now }
+}
+
+// WithWindow replaces the span within which the extra sends are bounded.
+func WithWindow(span time.Duration) Option {
+	return func(b *Budget) { b.window = span }
 }
 
-// New returns a full budget. Each request adds share tokens, up to limit.
-func New(share, limit float64) *Budget {
-	return &Budget{share: share, limit: limit, tokens: limit}
+// WithSlackFrom gives no slack before a time.
+func WithSlackFrom(from time.Time) Option {
+	return func(b *Budget) { b.slackFrom = from }
 }
 
-// SetLimit replaces how many tokens are kept.
-func (b *Budget) SetLimit(limit float64) {
+// New returns a budget of extra sends: in any window a share of its requests,
+// and a number of them besides.
+func New(share, slack float64, options ...Option) *Budget {
+	b := &Budget{now: time.Now, share: share, slack: slack, window: defaultWindow}
+	for _, o := range options {
+		o(b)
+	}
+	b.began = b.now()
+	return b
+}
+
+// SetSlack replaces how many extra sends are allowed besides the share.
+func (b *Budget) SetSlack(slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = limit
-	b.tokens = min(b.tokens, limit)
+	b.slack = slack
 }
 
-// Earn adds the share of one request.
+// Earn counts a request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.limit, b.tokens+b.share)
+	b.current().earned++
 }
 
-// Spend takes one token and reports whether there was one beyond the reserve,
-// which is a part of the limit from 0 to 1.
+// Spend takes an extra send and reports whether there was one beyond the reserve,
+// which is a part from 0 to 1 of what the window allows.
 func (b *Budget) Spend(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1+reserve*b.limit {
+	now := b.current()
+	allowed, left := b.allowance()
+	if left < 1+reserve*allowed {
 		return false
 	}
-	b.tokens--
+	now.spent++
 	return true
 }
 
-// Tokens returns how many extra sends are allowed now.
-func (b *Budget) Tokens() float64 {
+// Left returns how many extra sends are allowed now.
+func (b *Budget) Left() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens
+	b.current()
+	_, left := b.allowance()
+	return left
+}
+
+// allowance returns how many extra sends the window allows, and how many of them
+// are left. The oldest step lies only in part in the window: what was spent in it
+// counts, what was earned does not.
+func (b *Budget) allowance() (allowed, left float64) {
+	if !b.now().Before(b.slackFrom) {
+		allowed = b.slack
+	}
+	oldest, spent := (b.newest+1)%int64(len(b.counts)), 0
+	for i, c := range b.counts {
+		spent += c.spent
+		if int64(i) != oldest {
+			allowed += b.share * float64(c.earned)
+		}
+	}
+	return allowed, allowed - float64(spent)
+}
+
+// current returns the count of the present step, and clears those that are over.
+func (b *Budget) current() *count {
+	step := int64(b.now().Sub(b.began) / (b.window / steps))
+	size := int64(len(b.counts))
+	for n := max(b.newest+1, step-size+1); n <= step; n++ {
+		b.counts[n%size] = count{}
+	}
+	b.newest = max(b.newest, step)
+	return &b.counts[b.newest%size]
 }
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -196,7 +196,7 @@
 	t := d.table(service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	load := Load{Budget: t.budget.Tokens()}
+	load := Load{Budget: t.budget.Left()}
 	for _, s := range t.shards {
 		load.Waiting += s.queue.Len()
 	}
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -88,8 +88,9 @@
 	lastAsked hysmember.InstanceID
 	// following is set while a reader is followed instead of the store.
 	following atomic.Bool
-	// start tells the starts of this daemon apart.
-	start string
+	// start tells the starts of this daemon apart, started is when this one was.
+	start   string
+	started time.Time
 	// newest is the configuration in force.
 	newest    atomic.Pointer[Configured]
 	knowledge knowledge
@@ -155,6 +156,7 @@
 		cursors:        make(map[hysmember.InstanceID]hysrelay.Cursor),
 		told:           make(map[hysmember.InstanceID]hysrelay.Cursor),
 		start:          uuid.NewString(),
+		started:        time.Now(),
 
 		delegates: hysgather.NewDelegates(time.Now),
 		suspects:  hysquarantine.NewWatch(time.Now),
--- a/io/hysfront/shares.go
+++ b/io/hysfront/shares.go
@@ -1,6 +1,8 @@
 package hysfront
 
 import (
+	"time"
+
 	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
@@ -15,6 +17,9 @@
 	connectionPart = 0.8
 	// slackPart is the part of the budget's slack that is used.
 	slackPart = 0.8
+	// slackDelay is one window of the budget: what this daemon spent before it was
+	// started again is not known.
+	slackDelay = 10 * time.Second
 	// gathererPart is what the gatherers have of it at the shards of queries; the
 	// others need some while no gatherer answers them.
 	gathererPart = 0.75
@@ -37,7 +42,7 @@
 func (f *Front) budget(service hysservice.Name) *hysbudget.Budget {
 	f.budgetMu.Lock()
 	defer f.budgetMu.Unlock()
-	b := hysbudget.New(f.settings.RetryShare, f.slack(service))
+	b := hysbudget.New(f.settings.RetryShare, f.slack(service), hysbudget.WithSlackFrom(f.started.Add(slackDelay)))
 	f.budgets[service] = b
 	return b
 }
@@ -67,6 +72,6 @@
 	f.budgetMu.Lock()
 	defer f.budgetMu.Unlock()
 	for service, b := range f.budgets {
-		b.SetLimit(f.slack(service))
+		b.SetSlack(f.slack(service))
 	}
 }
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -41,7 +41,9 @@
 	switch {
 	case result.Verdict == hyspartial.VerdictAnswer:
 		e.answer(result)
-		e.flush()
+		if result.Answered < len(shards) {
+			e.flush()
+		}
 	case ctx.Err() != nil:
 		e.abandon()
 	case result.NotRun():
