Bound retries and hedges by a sliding window

The bound is one of every window of some seconds, over all daemons.

Now each window is counted: own requests, those of the window before or half a window before, whichever are most, as the bound says; a daemon that has just started has no slack for a window.

--- a/core/hysbudget/budget.go
+++ b/core/hysbudget/budget.go
@@ -3,7 +3,9 @@
 //
 // It answers this load: a calm time, and then a fault that many requests need a
 // second send for. What the calm requests of the last window have earned may be
-// spent at once, and with it the slack, but in no window more than that.
+// spent at once, and with it the slack, but in no window more than that. The requests
+// that count for a window are its own, those of the window before it or those of the
+// window that begins half a window before it, whichever are most.
 //
 // Many instances that each keep to a budget of their own, with a share of the
 // slack, keep to the whole together. An instance that has just started does not
@@ -19,6 +21,7 @@
 package hysbudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -26,9 +29,12 @@
 // defaultWindow is the span within which the extra sends are bounded.
 const defaultWindow = 10 * time.Second
 
-// steps is how many parts a window is counted in.
+// steps is how many parts a window is counted in, an even number.
 const steps = 20
 
+// kept is how many steps are remembered: two windows and the step before them.
+const kept = 2*steps + 1
+
 // count holds the requests and the extra sends of a step.
 type count struct {
 	earned int
@@ -45,9 +51,9 @@
 	// began is when the first step was, slackFrom when the slack may be used.
 	began     time.Time
 	slackFrom time.Time
-	// counts are those of the window and of the step before it, by the number of
-	// the step; newest is the last of them.
-	counts [steps + 1]count
+	// counts are those of the last steps, by the number of the step; newest is the
+	// last of them.
+	counts [kept]count
 	newest int64
 }
 
@@ -95,13 +101,12 @@
 }
 
 // Spend takes an extra send and reports whether there was one beyond the reserve,
-// which is a part from 0 to 1 of what the window allows.
+// which is a part from 0 to 1 of what each window allows.
 func (b *Budget) Spend(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.current()
-	allowed, left := b.allowance()
-	if left < 1+reserve*allowed {
+	if b.left(reserve) < 1 {
 		return false
 	}
 	now.spent++
@@ -113,34 +118,58 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.current()
-	_, left := b.allowance()
-	return left
+	return b.left(0)
 }
 
-// allowance returns how many extra sends the window allows, and how many of them
-// are left. The oldest step lies only in part in the window: what was spent in it
-// counts, what was earned does not.
-func (b *Budget) allowance() (allowed, left float64) {
+// left returns how many extra sends beyond the reserve every window still allows
+// that is not over. Of the step in which a window begins all that was spent counts,
+// and nothing that was earned.
+func (b *Budget) left(reserve float64) float64 {
+	slack := 0.0
 	if !b.now().Before(b.slackFrom) {
-		allowed = b.slack
+		slack = b.slack
+	}
+	left := math.Inf(1)
+	spent := 0
+	for first := b.newest; first >= b.newest-steps; first-- {
+		spent += b.at(first).spent
+		allowed := b.share*float64(b.requests(first)) + slack
+		left = min(left, (1-reserve)*allowed-float64(spent))
 	}
-	oldest, spent := (b.newest+1)%int64(len(b.counts)), 0
-	for i, c := range b.counts {
-		spent += c.spent
-		if int64(i) != oldest {
-			allowed += b.share * float64(c.earned)
-		}
+	return left
+}
+
+// requests are those that count for a window that begins in a step.
+func (b *Budget) requests(first int64) int {
+	own := b.earned(first+1, b.newest)
+	halfBefore := b.earned(first-steps/2+1, min(first+steps/2-1, b.newest))
+	before := b.earned(first-steps+1, first-1)
+	return max(own, halfBefore, before)
+}
+
+// earned counts the requests of some steps.
+func (b *Budget) earned(from, to int64) int {
+	requests := 0
+	for step := from; step <= to; step++ {
+		requests += b.at(step).earned
+	}
+	return requests
+}
+
+// at returns the count of a step, which is empty before the first one.
+func (b *Budget) at(step int64) count {
+	if step < 0 {
+		return count{}
 	}
-	return allowed, allowed - float64(spent)
+	return b.counts[step%kept]
 }
 
 // current returns the count of the present step, and clears those that are over.
 func (b *Budget) current() *count {
-	step := int64(b.now().Sub(b.began) / (b.window / steps))
-	size := int64(len(b.counts))
-	for n := max(b.newest+1, step-size+1); n <= step; n++ {
-		b.counts[n%size] = count{}
+	step := max(int64(b.now().Sub(b.began)/(b.window/steps)), b.newest)
+	for n := max(b.newest+1, step-kept+1); n <= step; n++ {
+		b.counts[n%kept] = count{}
 	}
-	b.newest = max(b.newest, step)
-	return &b.counts[b.newest%size]
+	b.newest = step
+	return &b.counts[step%kept]
 }
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -18,7 +18,9 @@
 	defaultStopGrace  = 6 * time.Second
 	defaultRetryShare = 0.1
 	defaultRetrySlack = 10
-	defaultMinLease   = time.Second
+	// defaultRetryWindow is the span in which the retries are bounded.
+	defaultRetryWindow = 10 * time.Second
+	defaultMinLease    = time.Second
 	// defaultResponseMemory is that of an instance without a limit, in bytes.
 	defaultResponseMemory = 64 << 20
 	// defaultChangeWithin is the shortest bound that deployments are known to have.
@@ -49,9 +51,11 @@
 	// StopGrace is how long after SIGTERM the process may still run.
 	StopGrace time.Duration
 	// RetryShare and RetrySlack bound the sends of all daemons beyond the first
-	// of each request: a share of the requests, and a count that may be saved up.
-	RetryShare float64
-	RetrySlack float64
+	// of each request in any RetryWindow: a share of the requests, and a count
+	// besides.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 	// MinLease is the shortest lease of the store.
 	MinLease time.Duration
 	// ApplyWithin and DrainWithin are how soon a configuration, and the leaving
@@ -71,6 +75,9 @@
 	if s.RetrySlack == 0 {
 		s.RetrySlack = defaultRetrySlack
 	}
+	if s.RetryWindow == 0 {
+		s.RetryWindow = defaultRetryWindow
+	}
 	if s.MinLease == 0 {
 		s.MinLease = defaultMinLease
 	}
@@ -98,7 +105,7 @@
 			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
 		}
 	}
-	if s.RetryShare < 0 || s.RetrySlack < 0 || s.StopGrace < 0 || s.changeWithin() < 0 {
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.StopGrace < 0 || s.changeWithin() < 0 {
 		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
 	}
 	return nil
--- a/io/hysfront/shares.go
+++ b/io/hysfront/shares.go
@@ -1,8 +1,6 @@
 package hysfront
 
 import (
-	"time"
-
 	"hyssopshore/core/hysbudget"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
@@ -17,9 +15,6 @@
 	connectionPart = 0.8
 	// slackPart is the part of the budget's slack that is used.
 	slackPart = 0.8
-	// slackDelay is one window of the budget: what this daemon spent before it was
-	// started again is not known.
-	slackDelay = 10 * time.Second
 	// gathererPart is what the gatherers have of it at the shards of queries; the
 	// others need some while no gatherer answers them.
 	gathererPart = 0.75
@@ -42,13 +37,16 @@
 func (f *Front) budget(service hysservice.Name) *hysbudget.Budget {
 	f.budgetMu.Lock()
 	defer f.budgetMu.Unlock()
-	b := hysbudget.New(f.settings.RetryShare, f.slack(service), hysbudget.WithSlackFrom(f.started.Add(slackDelay)))
+	// What this daemon spent before it was started again is not known, and counts
+	// for a window.
+	b := hysbudget.New(f.settings.RetryShare, f.slack(service), hysbudget.WithWindow(f.settings.RetryWindow),
+		hysbudget.WithSlackFrom(f.started.Add(f.settings.RetryWindow)))
 	f.budgets[service] = b
 	return b
 }
 
-// slack is this daemon's share of the extra sends to a service that may be saved
-// up. The caller holds budgetMu.
+// slack is this daemon's share of the extra sends to a service besides those that
+// its requests allow. The caller holds budgetMu.
 func (f *Front) slack(service hysservice.Name) float64 {
 	return slackPart * f.settings.RetrySlack * f.part(service)
 }
