Hedge by what is left of the goal

Cause: sends were hedged after the 90th percentile of the shard's last seconds. In calm times that is 25 ms of a goal of 200, so that a tenth of the sends looked for a second replica, often in another region, for nothing; and with one slow replica of three it is the slow one's own time, when the goal is over.

--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -19,12 +20,20 @@
 // queue. Where it would wait longer, the slots are better used by others.
 const hedgeWaitPart = 0.5
 
+// earliestPart is the part of its goal in which a sub-request needs no hedge: one
+// that comes later can still make it.
+const earliestPart = 0.3
+
+// lateFactor is how many times its usual time another replica is given to answer a
+// hedge within the goal.
+const lateFactor = 1.5
+
 func (c *call) hedgeTimer() *time.Timer {
 	delay := time.Until(c.sub.Deadline)
 	if c.hedgeable() {
 		c.table.mu.Lock()
 		defer c.table.mu.Unlock()
-		delay = c.hedgeDelay(c.table.shard(c.key()), c.sends[len(c.sends)-1].replica)
+		delay = c.hedgeDelay(c.table.shard(c.key()), c.sends[len(c.sends)-1])
 	}
 	return time.NewTimer(delay)
 }
@@ -37,9 +46,10 @@
 // to near and far replicas are compared without their distances, so that the
 // far ones don't delay the hedges of the near ones. There is no replica while
 // the send waits for a slot.
-func (c *call) hedgeDelay(s *shard, r *replica) time.Duration {
+func (c *call) hedgeDelay(s *shard, last *waiter) time.Duration {
 	policy := c.dispatcher.hedge
 	now := c.table.now()
+	started := now
 	delay, ok := s.latency.Quantile(now, policy.Percent)
 	if !ok {
 		delay, ok = c.table.pooled.quantile(now, c.sub.Group, policy.Percent)
@@ -47,10 +57,53 @@
 	if !ok {
 		delay = policy.Unknown
 	}
-	if r != nil {
-		delay += r.Distance
+	if last.replica != nil {
+		delay += last.replica.Distance
+		started = last.started
+	}
+	return c.withinGoal(s, started, max(delay, minHedgeDelay))
+}
+
+// withinGoal is the delay of a send that started at a time, whose sub-request may have
+// a goal.
+func (c *call) withinGoal(s *shard, started time.Time, delay time.Duration) time.Duration {
+	left := c.sub.Due.Sub(started)
+	if c.sub.Due.IsZero() || left <= 0 {
+		return delay
+	}
+	other, ok := c.otherTime(s, c.table.now())
+	if !ok {
+		other = 0
+	}
+	return DelayWithin(left, delay, other)
+}
+
+// DelayWithin returns how long a send may run before it is hedged whose reply is due
+// within a goal, where most take a usual time and another replica is likely to take the
+// other time. It is
+// no shorter than a part of the goal, within which a hedge is not needed yet, and
+// short enough for the other replica to answer within the goal: a slow replica makes
+// the usual time of its shard its own, so that this alone would let hedges come when
+// the goal is over.
+func DelayWithin(goal, usual, other time.Duration) time.Duration {
+	earliest := time.Duration(earliestPart * float64(goal))
+	latest := goal - time.Duration(lateFactor*float64(other))
+	return max(min(usual, latest), earliest)
+}
+
+// otherTime is how long the best replica that has not been tried is likely to take.
+func (c *call) otherTime(s *shard, now time.Time) (time.Duration, bool) {
+	tried, usual := c.tried(), s.usualTime()
+	best, found := time.Duration(0), false
+	for _, r := range s.replicas {
+		if slices.Contains(tried, r) || !r.serves(now) {
+			continue
+		}
+		if e := r.expected(now, usual); !found || e < best {
+			best, found = e, true
+		}
 	}
-	return max(delay, minHedgeDelay)
+	return best, found
 }
 
 // hedge sends once more if the last send has run for long, and returns when to
@@ -65,7 +118,7 @@
 	defer t.mu.Unlock()
 	s := t.shard(c.key())
 	last := c.sends[len(c.sends)-1]
-	delay := c.hedgeDelay(s, last.replica)
+	delay := c.hedgeDelay(s, last)
 	if last.replica == nil {
 		return delay
 	}
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -44,7 +44,10 @@
 	Deadline   time.Time
 	// Goal is the time within which the reply is worth most; 0 if it is not
 	// known.
-	Goal        time.Duration
+	Goal time.Duration
+	// Due is when the reply must have come to be worth most; zero if it is not
+	// known.
+	Due         time.Time
 	Fingerprint hysquery.Fingerprint
 	// Proven is true once the request has succeeded on a searcher.
 	Proven bool
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -284,10 +284,15 @@
 	return hysdispatch.SubRequest{
 		RequestID: e.record.ID, Fingerprint: e.fingerprint, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
-		Deadline: e.deadline, Goal: e.route.Goal, Returning: e.record.Returning, Message: e.message, MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), RetryNotRun: true,
+		Deadline: e.deadline, Goal: e.route.Goal, Due: e.due(), Returning: e.record.Returning, Message: e.message, MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), RetryNotRun: true,
 	}
 }
 
+// due is when the answer must be given to make the goal of the request.
+func (e *exchange) due() time.Time {
+	return e.start.Add(max(e.route.Goal-e.replyMargin(), e.route.Goal/2))
+}
+
 // target is the path and the query as the caller sent them.
 func target(r *http.Request) string {
 	if r.URL.Scheme != "" {
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -24,7 +24,7 @@
 		Submit: e.ingress.Submit, Deadline: e.deadline,
 		Policy: hyspartial.Policy{
 			Shards: len(shards), Minimum: e.route.MinimumShards(),
-			Goal: e.start.Add(max(e.route.Goal-e.replyMargin(), e.route.Goal/2)),
+			Goal: e.due(),
 		},
 	}
 	for _, service := range shards {
