Read the store at once where callers wait for a start

Ruled out: the start of the process itself (0.1 to 0.2 s, not ours to shorten here).

Where daemons are many a caller seldom waits, so that they still start through their reader. If the store fails it, it asks its reader as before.

--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -72,7 +72,7 @@
 // which starts at the same time, instead of reading everything itself.
 func (f *Front) awaitsReader(p progress) bool {
 	_, ok := f.reader()
-	return ok && f.settings.FirstStart && !f.listed.Load() && time.Since(p.began) < firstPatience
+	return ok && f.settings.FirstStart && !f.callersWait() && time.Since(p.began) < firstPatience
 }
 
 // follow keeps the configuration and the list of the searchers at the newest,
@@ -80,6 +80,7 @@
 func (f *Front) follow(ctx context.Context) {
 	select {
 	case <-f.neighboursRead:
+	case <-f.wanted:
 	case <-ctx.Done():
 	}
 	p := progress{began: time.Now()}
@@ -103,10 +104,13 @@
 // whether the reader told what it knows.
 func (f *Front) followReader(ctx context.Context, p *progress) bool {
 	reader, ok := f.reader()
-	if !ok || time.Now().Before(p.ownUntil) {
+	atOnce := f.callersWait() && p.failures == 0
+	if !ok || atOnce || time.Now().Before(p.ownUntil) {
 		return false
 	}
-	age, err := f.askInstance(ctx, reader, followWait, f.longestAge())
+	asking, stop := f.untilCallersWait(ctx)
+	age, err := f.askInstance(asking, reader, followWait, f.longestAge())
+	stop()
 	if err != nil {
 		p.ownUntil = time.Now().Add(f.ownReadTime(*p))
 		if ctx.Err() == nil {
@@ -122,6 +126,48 @@
 	return true
 }
 
+// callersWait reports whether callers wait for what this daemon does not know yet.
+// It answers the load after all daemons have lost power: each has callers at once,
+// and the reader of its zone knows no more than it does. The daemon then reads the
+// store itself.
+func (f *Front) callersWait() bool {
+	if f.listed.Load() {
+		return false
+	}
+	select {
+	case <-f.wanted:
+		return true
+	default:
+		return false
+	}
+}
+
+// untilCallersWait returns a context that ends when a caller waits for a daemon that
+// knows nothing. Once one has waited it does not end by itself: the store has failed
+// then.
+func (f *Front) untilCallersWait(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if f.listed.Load() || f.callersWait() {
+		return ctx, cancel
+	}
+	go func() {
+		select {
+		case <-f.wanted:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// want notes that a caller waits for the first configuration.
+func (f *Front) want() {
+	f.wantOnce.Do(func() {
+		f.log.Info("callers wait for the first configuration")
+		close(f.wanted)
+	})
+}
+
 // ownReadTime is how long the store is read after the reader has failed.
 func (f *Front) ownReadTime(p progress) time.Duration {
 	switch {
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -74,6 +74,9 @@
 	neighboursRead chan struct{}
 	// configured is closed once there is a configuration.
 	configured chan struct{}
+	// wanted is closed once a caller waits for the first configuration.
+	wanted   chan struct{}
+	wantOnce sync.Once
 	// listed is set once the list of searchers has been read.
 	listed  atomic.Bool
 	leaving atomic.Bool
@@ -149,6 +152,7 @@
 	f := &Front{
 		settings: s, source: source, log: log.With("instance", s.Instance), metrics: hysmetrics.New(),
 		directory: hysmember.NewDirectory(), configured: make(chan struct{}),
+		wanted:         make(chan struct{}),
 		neighboursRead: make(chan struct{}),
 		relayed:        hysrelay.NewClient(),
 		budgets:        make(map[hysservice.Name]*hysbudget.Budget),
@@ -257,6 +261,7 @@
 	if state := f.configuration(); state != nil || f.store.isLost() && f.others.isLost() {
 		return state
 	}
+	f.want()
 	timer := time.NewTimer(firstWait)
 	defer timer.Stop()
 	select {
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -1,6 +1,7 @@
 package hysfront_test
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -78,6 +79,28 @@
 		Expect(followerStore.reads).To(BeZero())
 	})
 
+	It("reads the store itself when callers wait and the other one says nothing", func() {
+		one, other := newDaemon("127.0.0.56"), newDaemon("127.0.0.57")
+		all := hysmember.Instances{one.instance(), other.instance()}
+		if _, ok := all.Reader(one.settings.Instance); !ok {
+			one, other = other, one
+		}
+		silent, err := net.Listen("tcp", string(other.settings.PeerAddress))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(silent.Close)
+		one.start(&store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all})
+		var status int
+		var answered time.Duration
+		Eventually(func() int {
+			started := time.Now()
+			status, _ = one.ask()
+			answered = time.Since(started)
+			return status
+		}, "2s", "1ms").ShouldNot(BeZero(), "the port is open")
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(answered).To(BeNumerically("<", 250*time.Millisecond))
+	})
+
 	It("waits for it when the whole system starts for the first time", func() {
 		one, other := newDaemon("127.0.0.31"), newDaemon("127.0.0.32")
 		one.settings.FirstStart, other.settings.FirstStart = true, true
