--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -12,6 +12,8 @@
 
 // Bounds of the hedging delay.
 const (
+	// minHedgeDelay also bounds how often a send is looked at whose goal is nearly
+	// over.
 	minHedgeDelay     = time.Millisecond
 	defaultHedgeDelay = 100 * time.Millisecond
 )
@@ -61,7 +63,7 @@
 		delay += last.replica.Distance
 		started = last.started
 	}
-	return c.withinGoal(s, started, max(delay, minHedgeDelay))
+	return c.withinGoal(s, started, delay)
 }
 
 // withinGoal is the delay of a send that started at a time, whose sub-request may have
@@ -69,7 +71,7 @@
 func (c *call) withinGoal(s *shard, started time.Time, delay time.Duration) time.Duration {
 	left := c.sub.Due.Sub(started)
 	if c.sub.Due.IsZero() || left <= 0 {
-		return delay
+		return max(delay, minHedgeDelay)
 	}
 	other, ok := c.otherTime(s, c.table.now())
 	if !ok {
@@ -88,7 +90,7 @@
 func DelayWithin(goal, usual, other time.Duration) time.Duration {
 	earliest := time.Duration(earliestPart * float64(goal))
 	latest := goal - time.Duration(lateFactor*float64(other))
-	return max(min(usual, latest), earliest)
+	return max(min(usual, latest), earliest, minHedgeDelay)
 }
 
 // otherTime is how long the best replica that has not been tried is likely to take.
