Let what can still make its goal go first, and returning callers wait with the late

Cause: in a crowd the queues were worked off in the order of arrival, and callers who came back after a refusal could wait for two goals, so that they filled the queues at which new ones were refused: everything was late.

The queue has a lane for what has missed its goal; callers who return wait in it. It has a turn of nine while others wait. New callers are refused from a fifth of the goal, all where the wait leaves too little for the sends themselves; returning ones from half of the time that they have left.

Ruled out: refusing alone, which leaves the searchers idle where the crowd is small.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -12,12 +12,22 @@
 	"hyssopshore/core/hysqueue"
 )
 
-// The wait at which requests begin to be refused is a part of the time that a
-// request has. At fullRefusal times that wait all are refused.
+// Requests begin to be refused at a wait that is a part of the time that a request
+// has. All are refused at one that leaves too little of it for the sends themselves,
+// within bounds.
 const (
-	waitPart     = 0.4
-	startRefusal = 0.5
-	fullRefusal  = 1.5
+	startRefusal   = 0.2
+	minFullRefusal = 0.3
+	maxFullRefusal = 0.6
+	// serviceFactor is how many times the average the last of a query's parts takes.
+	serviceFactor = 2
+)
+
+// Callers who were refused before begin to be refused again, and all are, at waits that
+// are parts of the time that they have left.
+const (
+	startReturning = 0.5
+	fullReturning  = 1.0
 )
 
 // A refused caller is asked to return within returnPart of the time that it has;
@@ -27,10 +37,6 @@
 	returnSpread = 0.5
 )
 
-// returningGoals is how many goals a caller who was refused before is allowed,
-// so that few are refused twice.
-const returningGoals = 2
-
 // pressureSpan is the time constant of the smoothed wait.
 const pressureSpan = 100 * time.Millisecond
 
@@ -41,6 +47,8 @@
 type pressureKey struct {
 	group hysgroup.Name
 	class hysquery.Class
+	// late items wait behind the others.
+	late bool
 }
 
 // pressure is the smoothed wait of a group's class.
@@ -95,8 +103,8 @@
 	if c.sub.Admitted {
 		return SubReply{}, false
 	}
-	smoothed := s.pressure.smooth(pressureKey{group: c.sub.Group, class: c.sub.Class}, now, wait)
-	if part := admitted(smoothed, c.sub.allowance(now)); c.sub.refusable() && c.sub.drawn() > part {
+	smoothed := s.pressure.smooth(c.sub.pressureKey(), now, wait)
+	if part := c.sub.admitted(now, smoothed, s.mean); c.sub.refusable() && c.sub.drawn() > part {
 		return notSent(c.sub, hysquery.ShardOverloaded, "the group's queue is too long", c.sub.returnAfter(now, smoothed, part)), true
 	}
 	return SubReply{}, false
@@ -111,9 +119,10 @@
 func (d *Dispatcher) Admit(subs []SubRequest, minimum int) (SubReply, bool) {
 	waits := make([]time.Duration, 0, len(subs))
 	rests := make([]time.Duration, 0, len(subs))
+	means := make([]time.Duration, 0, len(subs))
 	for i := range subs {
-		if wait, rest, usable := d.smoothedWait(&subs[i]); usable {
-			waits, rests = append(waits, wait), append(rests, rest)
+		if wait, rest, mean, usable := d.smoothedWait(&subs[i]); usable {
+			waits, rests, means = append(waits, wait), append(rests, rest), append(means, mean)
 		}
 	}
 	first := &subs[0]
@@ -122,11 +131,12 @@
 	}
 	slices.Sort(waits)
 	slices.Sort(rests)
+	slices.Sort(means)
 	now, wait := d.now(), waits[minimum-1]
 	if rest := rests[minimum-1]; rest > first.allowance(now) {
 		return notSent(*first, hysquery.ShardOverloaded, "too few shards have a searcher that may be sent to now", rest), false
 	}
-	part := admitted(wait, first.allowance(now))
+	part := first.admitted(now, wait, means[minimum-1])
 	if first.drawn() > part {
 		return notSent(*first, hysquery.ShardOverloaded, "the shards' queues are too long", first.returnAfter(now, wait, part)), false
 	}
@@ -137,19 +147,23 @@
 }
 
 // smoothedWait returns how long a sub-request would wait for a slot, how long its
-// shard rests, and whether it has a searcher.
-func (d *Dispatcher) smoothedWait(sub *SubRequest) (wait, rest time.Duration, usable bool) {
+// shard rests, how long a send to it takes on average, and whether it has a searcher.
+func (d *Dispatcher) smoothedWait(sub *SubRequest) (wait, rest, mean time.Duration, usable bool) {
 	t := d.table(sub.Service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := &call{dispatcher: d, table: t, sub: *sub}
 	s, ok := t.shards[c.key()]
 	if !ok || !s.hasReplica() {
-		return 0, 0, false
+		return 0, 0, 0, false
 	}
 	now := t.now()
-	key := pressureKey{group: sub.Group, class: sub.Class}
-	return s.pressure.smooth(key, now, s.wait(now, c.item(s, nil))), s.rest(now), true
+	key := sub.pressureKey()
+	return s.pressure.smooth(key, now, s.wait(now, c.item(s, nil))), s.rest(now), s.mean, true
+}
+
+func (s *SubRequest) pressureKey() pressureKey {
+	return pressureKey{group: s.Group, class: s.Class, late: s.Returning}
 }
 
 // refusable reports whether the sub-request may be refused for a long queue
@@ -159,14 +173,10 @@
 // allowance is the time within which the sub-request is worth running.
 func (s *SubRequest) allowance(now time.Time) time.Duration {
 	left := s.Deadline.Sub(now)
-	switch {
-	case s.Goal == 0:
+	if s.Goal == 0 || s.Returning {
 		return left
-	case s.Returning:
-		return min(returningGoals*s.Goal, left)
-	default:
-		return min(s.Goal, left)
 	}
+	return min(s.Goal, left)
 }
 
 // returnAfter is when a refused sub-request should be sent again. With a goal it
@@ -199,9 +209,16 @@
 	return max(earliest.Sub(now), 0)
 }
 
-// admitted is the part of the requests that is taken at a wait.
-func admitted(wait, left time.Duration) float64 {
-	return 1 - (wait.Seconds()/(waitPart*left.Seconds())-startRefusal)/(fullRefusal-startRefusal)
+// admitted is the part of the sub-requests like this one that is taken at a wait, where
+// a send takes a time on average.
+func (s *SubRequest) admitted(now time.Time, wait, mean time.Duration) float64 {
+	allowance := s.allowance(now).Seconds()
+	start, full := startReturning, fullReturning
+	if !s.Returning {
+		start = startRefusal
+		full = min(max(1-serviceFactor*mean.Seconds()/allowance, minFullRefusal), maxFullRefusal)
+	}
+	return 1 - (wait.Seconds()/allowance-start)/(full-start)
 }
 
 // drawn places a request between 0 and 1. The place is the same at every shard,
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -31,9 +31,13 @@
 }
 
 func (c *call) item(s *shard, w *waiter) hysqueue.Item {
-	return hysqueue.Item{
+	i := hysqueue.Item{
 		Group: c.sub.Group, Weight: c.sub.Weight, Class: c.sub.Class, Cost: s.mean, Work: w,
 	}
+	if !c.sub.Due.IsZero() {
+		i.Due, i.Late = c.sub.Due.Add(-s.mean), c.sub.Returning
+	}
+	return i
 }
 
 func (c *call) run(ctx context.Context) SubReply {
--- /dev/null
+++ b/core/hysdispatch/crowd_test.go
@@ -0,0 +1,187 @@
+package hysdispatch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysquery"
+	"hyssopshore/core/hysservice"
+)
+
+// crowdLoad is a load of queries over some shards, for a while more of them than the
+// searchers can run. A caller who is refused comes back once, at the time that the
+// refusal names. Each searcher has slots and a queue of its own.
+type crowdLoad struct {
+	Name     string `json:"name"`
+	Shards   int    `json:"shards"`
+	Replicas int    `json:"replicas"`
+	Slots    int    `json:"slots"`
+	Work     int    `json:"work-ms"`
+	Goal     int    `json:"goal-ms"`
+	Deadline int    `json:"deadline-ms"`
+	// Seconds is how long the crowd lasts, Excess how many times what the searchers
+	// can run it asks for.
+	Seconds int     `json:"seconds"`
+	Excess  float64 `json:"excess"`
+	// InTime is the least part of what the searchers can run that is answered in
+	// time, Unserved the largest part of the queries that get no answer.
+	InTime   float64 `json:"in-time"`
+	Unserved float64 `json:"unserved"`
+}
+
+type crowdResult struct {
+	inTime, late, refusedTwice, failed atomic.Int64
+}
+
+// TestCrowds replays crowds in virtual time.
+func TestCrowds(t *testing.T) {
+	var loads []crowdLoad
+	readTable(t, "crowds.json", &loads)
+	for _, l := range loads {
+		t.Run(l.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var r crowdResult
+				asked := l.run(&r)
+				able := l.rate() * float64(l.Seconds)
+				unserved := float64(r.refusedTwice.Load()+r.failed.Load()) / float64(asked)
+				inTime := float64(r.inTime.Load()) / able
+				t.Logf("%d asked, %.0f can be run: %d in time (%.2f), %d late, %d refused twice, %d without an answer (%.3f unserved)",
+					asked, able, r.inTime.Load(), inTime, r.late.Load(), r.refusedTwice.Load(), r.failed.Load(), unserved)
+				g := gomega.NewWithT(t)
+				g.Expect(inTime).To(gomega.BeNumerically(">=", l.InTime), "part in time of what can be run")
+				g.Expect(unserved).To(gomega.BeNumerically("<=", l.Unserved), "part without an answer")
+			})
+		})
+	}
+}
+
+// rate is how many queries a second the searchers can run.
+func (l crowdLoad) rate() float64 {
+	return float64(l.Replicas*l.Slots) / milliseconds(l.Work).Seconds()
+}
+
+// run plays the load and returns how many queries were asked.
+func (l crowdLoad) run(r *crowdResult) int {
+	d := forwarding(l.sender())
+	ctx, stop := context.WithCancel(context.Background())
+	go d.Run(ctx)
+	for shard := range l.Shards {
+		var all []hysdispatch.Replica
+		for _, one := range replicas(l.Replicas) {
+			one.Searcher.ID = hysmember.SearcherID(fmt.Sprintf("d%d-%s", shard, one.Searcher.ID))
+			all = append(all, one)
+		}
+		d.SetReplicas(crowdShard(shard), all, l.Slots)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var wait sync.WaitGroup
+	asked := 0
+	begin := func(seconds, excess float64) {
+		for until := time.Now().Add(time.Duration(seconds * float64(time.Second))); time.Now().Before(until); asked++ {
+			n := asked
+			wait.Go(func() { l.ask(d, n, r) })
+			time.Sleep(time.Duration(random.ExpFloat64() / (excess * l.rate()) * float64(time.Second)))
+		}
+	}
+	begin(1, 0.3)
+	calm := asked
+	wait.Wait()
+	r.inTime.Store(0)
+	begin(float64(l.Seconds), l.Excess)
+	wait.Wait()
+	stop()
+	time.Sleep(2 * time.Second)
+	for shard := range l.Shards {
+		d.SetReplicas(crowdShard(shard), nil, l.Slots)
+	}
+	return asked - calm
+}
+
+func crowdShard(shard int) hysservice.Name { return hysservice.Name(fmt.Sprint("d", shard)) }
+
+// sender runs a sub-request in a slot of its searcher, in the order of arrival.
+func (l crowdLoad) sender() hysdispatch.Sender {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(3, 4))
+	slots := make(map[hysmember.SearcherID]chan struct{})
+	return func(ctx context.Context, to hysmember.Searcher, _ hysdispatch.SubRequest) hysdispatch.Result {
+		mu.Lock()
+		if slots[to.ID] == nil {
+			slots[to.ID] = make(chan struct{}, l.Slots)
+		}
+		mine := slots[to.ID]
+		work := time.Duration((0.65 + 0.7*random.Float64()) * float64(milliseconds(l.Work)))
+		mu.Unlock()
+		select {
+		case mine <- struct{}{}:
+		case <-ctx.Done():
+			return hysdispatch.Result{Fault: hysdispatch.FaultCancelled}
+		}
+		defer func() { <-mine }()
+		time.Sleep(work)
+		return hysdispatch.Result{}
+	}
+}
+
+// ask sends a query, and once more if it is refused.
+func (l crowdLoad) ask(d *hysdispatch.Dispatcher, n int, r *crowdResult) {
+	first := time.Now()
+	for attempt := range 2 {
+		outcome, after := l.attempt(d, fmt.Sprintf("r-%d-%d", n, attempt), first, attempt > 0)
+		switch {
+		case outcome == hysquery.ShardAnswered && time.Since(first) <= milliseconds(l.Goal):
+			r.inTime.Add(1)
+			return
+		case outcome == hysquery.ShardAnswered:
+			r.late.Add(1)
+			return
+		case outcome != hysquery.ShardOverloaded:
+			r.failed.Add(1)
+			return
+		case attempt > 0:
+			r.refusedTwice.Add(1)
+			return
+		}
+		// Callers wait for a third of their time at most.
+		time.Sleep(min(after, milliseconds(l.Deadline)/3))
+	}
+}
+
+// attempt is one try of a query, which needs all of its shards.
+func (l crowdLoad) attempt(d *hysdispatch.Dispatcher, id string, first time.Time, returning bool) (hysquery.ShardStatus, time.Duration) {
+	now := time.Now()
+	subs := make([]hysdispatch.SubRequest, l.Shards)
+	for i := range subs {
+		subs[i] = subRequest(id, 0)
+		subs[i].Epoch, subs[i].Version, subs[i].MaxRuns, subs[i].RetryNotRun = 1, 1, 2, true
+		subs[i].Service, subs[i].Goal, subs[i].Returning = crowdShard(i), milliseconds(l.Goal), returning
+		subs[i].Due, subs[i].Deadline = now.Add(milliseconds(l.Goal)), first.Add(milliseconds(l.Deadline))
+	}
+	if refusal, ok := d.Admit(subs, l.Shards); !ok {
+		return hysquery.ShardOverloaded, refusal.RetryAfter
+	}
+	var wait sync.WaitGroup
+	var answered atomic.Int64
+	for _, sub := range subs {
+		wait.Go(func() {
+			if d.Submit(context.Background(), sub).Status == hysquery.ShardAnswered {
+				answered.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	if answered.Load() < int64(l.Shards) {
+		return hysquery.ShardTimeout, 0
+	}
+	return hysquery.ShardAnswered, 0
+}
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -183,6 +183,7 @@
 
 func (t *table) matchShard(s *shard) {
 	now := t.now()
+	s.queue.Demote(now)
 	for s.queue.Len() > 0 && t.matchOne(s, now) {
 	}
 }
--- a/core/hysqueue/flow.go
+++ b/core/hysqueue/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hyssopshore/core/hysgroup"
 	"hyssopshore/core/hysquery"
@@ -22,16 +23,42 @@
 	index int
 }
 
-// first returns the first item that accept allows, urgent ones first.
+// first returns the first item that accept allows and that is not late, urgent
+// ones first.
 func (f *flow) first(accept func(Item) bool) position {
-	for c := range f.waiting {
-		if i := slices.IndexFunc(f.waiting[c], accept); i >= 0 {
-			return position{flow: f, class: c, index: i}
+	for c := range lateClass {
+		if p := f.firstOf(c, accept); p.flow != nil {
+			return p
 		}
 	}
 	return position{}
 }
 
+// firstLate returns the first late item that accept allows.
+func (f *flow) firstLate(accept func(Item) bool) position {
+	return f.firstOf(lateClass, accept)
+}
+
+func (f *flow) firstOf(class int, accept func(Item) bool) position {
+	if i := slices.IndexFunc(f.waiting[class], accept); i >= 0 {
+		return position{flow: f, class: class, index: i}
+	}
+	return position{}
+}
+
+// demote moves the items that have missed their goal to the late ones. Those of a
+// class are due in the order in which they wait.
+func (f *flow) demote(now time.Time) {
+	for c := range lateClass {
+		late := 0
+		for late < len(f.waiting[c]) && f.waiting[c][late].lateAt(now) {
+			late++
+		}
+		f.waiting[lateClass] = append(f.waiting[lateClass], f.waiting[c][:late]...)
+		f.waiting[c] = slices.Delete(f.waiting[c], 0, late)
+	}
+}
+
 func (f *flow) remove(class, index int) Item {
 	item := f.waiting[class][index]
 	f.waiting[class] = slices.Delete(f.waiting[class], index, index+1)
--- a/core/hysqueue/queue.go
+++ b/core/hysqueue/queue.go
@@ -8,10 +8,16 @@
 // an urgent request within its group's share hardly waits, and a group that
 // marks all as urgent gets no more than its share.
 //
+// An item that has missed its goal goes behind all that have not, of every group, but
+// for one turn of a few. This answers a crowd: what is worked off in the order of
+// arrival has soon missed its goal as a whole, and holds the slots in which later ones
+// would make theirs. The late ones still end before their callers give up.
+//
 // # Usage
 //
 //	q := hysqueue.New()
 //	q.Push(hysqueue.Item{Group: "a", Weight: 1, Class: hysquery.ClassUrgent, Work: w})
+//	q.Demote(now)
 //	item, ok := q.Pop(accept)
 //	q.Charge(item, used-item.Cost)
 //
@@ -26,8 +32,14 @@
 	"hyssopshore/core/hysquery"
 )
 
-// classCount is how many classes of requests there are.
-const classCount = int(hysquery.ClassBulk) + 1
+// lateTurns is how many turns others have between two late items.
+const lateTurns = 8
+
+// lateClass holds the items of all classes that have missed their goal.
+const lateClass = int(hysquery.ClassBulk) + 1
+
+// classCount is how many classes of items there are.
+const classCount = lateClass + 1
 
 // UrgentCredit is the slot time that a group's urgent requests may use ahead
 // of its share.
@@ -41,10 +53,17 @@
 	// Cost is the slot time that the item is expected to use. It is charged
 	// on Pop and corrected by Charge.
 	Cost time.Duration
+	// Due is when the item must have begun to make its goal, zero if it has none.
+	Due time.Time
+	// Late items have missed their goal before they wait.
+	Late bool
 	// Work belongs to the caller.
 	Work any
 }
 
+// lateAt reports whether the item has missed its goal.
+func (i Item) lateAt(now time.Time) bool { return !i.Due.IsZero() && now.After(i.Due) }
+
 // Option changes a Queue.
 type Option func(*Queue)
 
@@ -63,11 +82,13 @@
 	order   []*flow
 	virtual float64
 	length  int
+	// untilLate is how many turns go before a late item goes first.
+	untilLate int
 }
 
 // New returns an empty queue.
 func New(options ...Option) *Queue {
-	q := &Queue{flows: make(map[hysgroup.Name]*flow)}
+	q := &Queue{flows: make(map[hysgroup.Name]*flow), untilLate: lateTurns}
 	for _, o := range options {
 		o(q)
 	}
@@ -102,6 +123,7 @@
 		return Item{}, false
 	}
 	item := next.flow.remove(next.class, next.index)
+	q.countTurn(next.class == lateClass)
 	q.length--
 	q.Charge(item, item.Cost)
 	if q.length == 0 {
@@ -124,11 +146,43 @@
 	}
 }
 
-// next chooses between the first acceptable item of each group and class.
+// Demote puts the items that have missed their goal behind all others.
+func (q *Queue) Demote(now time.Time) {
+	if q.fifo {
+		return
+	}
+	for _, f := range q.order {
+		f.demote(now)
+	}
+}
+
+// next chooses between the first acceptable item of each group and class. Late
+// ones are left for when there is no other, and for one turn of a few.
 func (q *Queue) next(accept func(Item) bool) position {
+	first, second := (*flow).first, (*flow).firstLate
+	if q.untilLate <= 0 {
+		first, second = second, first
+	}
+	if p := q.nextOf(accept, first); p.flow != nil {
+		return p
+	}
+	return q.nextOf(accept, second)
+}
+
+// countTurn counts the turns until a late item goes first.
+func (q *Queue) countTurn(late bool) {
+	if late {
+		q.untilLate = lateTurns
+		return
+	}
+	q.untilLate--
+}
+
+// nextOf chooses between the items that first finds in each group.
+func (q *Queue) nextOf(accept func(Item) bool, first func(*flow, func(Item) bool) position) position {
 	var fair, urgent position
 	for _, f := range q.order {
-		p := f.first(accept)
+		p := first(f, accept)
 		if p.flow == nil {
 			continue
 		}
@@ -147,8 +201,11 @@
 
 // Ahead estimates how many items go before a new one.
 func (q *Queue) Ahead(i Item) int {
-	if q.fifo {
+	switch {
+	case q.fifo:
 		return q.length
+	case i.Late:
+		return q.aheadOfLate()
 	}
 	own := q.flows[i.Group]
 	mine, urgent := 0, i.Class == hysquery.ClassUrgent
@@ -161,7 +218,7 @@
 		if f == own {
 			continue
 		}
-		theirs := f.length()
+		theirs := f.length() - len(f.waiting[lateClass])
 		if urgent {
 			theirs = len(f.waiting[hysquery.ClassUrgent])
 		}
@@ -171,6 +228,19 @@
 	return int(ahead)
 }
 
+// aheadOfLate estimates how many items go before a new late one. While others wait,
+// more of them are likely to come.
+func (q *Queue) aheadOfLate() int {
+	late := 0
+	for _, f := range q.order {
+		late += len(f.waiting[lateClass])
+	}
+	if late == q.length {
+		return late
+	}
+	return late + (late+1)*lateTurns
+}
+
 // Charge advances the item's group by slot time that it used beyond what was
 // charged already; a negative time gives it back.
 func (q *Queue) Charge(i Item, used time.Duration) {
@@ -204,6 +274,7 @@
 	clear(q.flows)
 	q.order = q.order[:0]
 	q.virtual = 0
+	q.untilLate = lateTurns
 }
 
 // flow returns the flow of an item that is about to wait.
@@ -243,8 +314,12 @@
 }
 
 func (q *Queue) classOf(i Item) int {
-	if q.fifo {
+	switch {
+	case q.fifo:
 		return 0
+	case i.Late:
+		return lateClass
+	default:
+		return int(i.Class)
 	}
-	return int(i.Class)
 }
--- a/core/hysqueue/queue_test.go
+++ b/core/hysqueue/queue_test.go
@@ -28,7 +28,15 @@
 
 func all(hysqueue.Item) bool { return true }
 
-// item reads group/weight/class/cost in milliseconds.
+// Items that are late at popped are due before, the others after it.
+var (
+	popped = time.Unix(1000, 0)
+	past   = popped.Add(-time.Millisecond)
+	future = popped.Add(time.Millisecond)
+)
+
+// item reads group/weight/class/cost in milliseconds, and /late, /due or /returning for
+// one with a goal.
 func item(text string) hysqueue.Item {
 	parts := strings.Split(text, "/")
 	weight, err := strconv.ParseUint(parts[1], 10, 32)
@@ -37,10 +45,15 @@
 	Expect(err).NotTo(HaveOccurred())
 	cost, err := strconv.Atoi(parts[3])
 	Expect(err).NotTo(HaveOccurred())
-	return hysqueue.Item{
+	i := hysqueue.Item{
 		Group: hysgroup.Name(parts[0]), Weight: uint32(weight), Class: class,
 		Cost: time.Duration(cost) * time.Millisecond,
 	}
+	if len(parts) > 4 {
+		i.Due = map[string]time.Time{"late": past, "due": future, "returning": future}[parts[4]]
+		i.Late = parts[4] == "returning"
+	}
+	return i
 }
 
 var _ = Describe("the order of a queue", func() {
@@ -69,6 +82,7 @@
 			}
 			var order []string
 			for q.Len() > 0 {
+				q.Demote(popped)
 				i, ok := q.Pop(all)
 				Expect(ok).To(BeTrue())
 				order = append(order, fmt.Sprintf("%s/%s", i.Group, i.Class))
@@ -77,6 +91,25 @@
 		})
 	}
 
+	It("counts no late items ahead of a new one", func() {
+		q := hysqueue.New()
+		q.Push(item("a/1/bulk/10/late"))
+		q.Push(item("b/1/bulk/10/late"))
+		q.Push(item("a/1/bulk/10/due"))
+		Expect(q.Ahead(item("a/1/bulk/10"))).To(Equal(3))
+		q.Demote(popped)
+		Expect(q.Ahead(item("a/1/bulk/10"))).To(Equal(1))
+		Expect(q.Len()).To(Equal(3))
+	})
+
+	It("expects a late one to wait for more than those that wait now", func() {
+		q, late := hysqueue.New(), item("a/1/bulk/10/returning")
+		q.Push(late)
+		Expect(q.Ahead(late)).To(Equal(1), "nobody else waits")
+		q.Push(item("a/1/bulk/10/due"))
+		Expect(q.Ahead(late)).To(BeNumerically(">", 10), "others go first for some turns")
+	})
+
 	It("forgets groups that wait for nothing", func() {
 		q := hysqueue.New()
 		q.Push(item("busy/1/bulk/1"))
