--- a/cmd/hyssopshore/main_test.go
+++ b/cmd/hyssopshore/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -89,14 +88,8 @@
 }
 
 func loadCommands() []commandCase {
-	data, err := os.ReadFile("testdata/commands.json")
-	if err != nil {
-		panic(err)
-	}
 	var cases []commandCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("commands.json", &cases)
 	return cases
 }
 
--- a/core/hysbudget/budget_test.go
+++ b/core/hysbudget/budget_test.go
@@ -1,8 +1,6 @@
 package hysbudget_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -39,14 +37,8 @@
 }
 
 func loadScripts() []script {
-	data, err := os.ReadFile("testdata/windows.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []script
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("windows.json", &scripts)
 	return scripts
 }
 
--- a/core/hysdispatch/crowd_test.go
+++ b/core/hysdispatch/crowd_test.go
@@ -16,6 +16,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
+	"hyssopshore/internal/hyssuite"
 )
 
 // crowdLoad is a load of queries over some shards, for a while more of them than the
@@ -46,7 +47,7 @@
 // TestCrowds replays crowds in virtual time.
 func TestCrowds(t *testing.T) {
 	var loads []crowdLoad
-	readTable(t, "crowds.json", &loads)
+	hyssuite.Read("crowds.json", &loads)
 	for _, l := range loads {
 		t.Run(l.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/core/hysdispatch/dispatcher_test.go
+++ b/core/hysdispatch/dispatcher_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -82,13 +80,7 @@
 		Sends   int
 		NotSent bool `json:"not-sent"`
 	}
-	data, err := os.ReadFile("testdata/faults.json")
-	if err == nil {
-		err = json.Unmarshal(data, &scripts)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("faults.json", &scripts)
 	for _, s := range scripts {
 		It(s.Name, func() {
 			var sent searchers
--- a/core/hysdispatch/goal_test.go
+++ b/core/hysdispatch/goal_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +15,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
+	"hyssopshore/internal/hyssuite"
 )
 
 // goalLoad is a load of sub-requests with a goal at two near replicas and a far one,
@@ -46,20 +45,9 @@
 	Delay int    `json:"delay-ms"`
 }
 
-// readTable reads the cases of a test.
-func readTable(t *testing.T, name string, into any) {
-	data, err := os.ReadFile("testdata/" + name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := json.Unmarshal(data, into); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func TestDelayWithin(t *testing.T) {
 	var cases []delayCase
-	readTable(t, "delays.json", &cases)
+	hyssuite.Read("delays.json", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			delay := hysdispatch.DelayWithin(milliseconds(c.Goal), milliseconds(c.Usual), milliseconds(c.Other))
@@ -73,7 +61,7 @@
 // TestGoals replays loads for which the goal decides when a send is hedged.
 func TestGoals(t *testing.T) {
 	var loads []goalLoad
-	readTable(t, "goals.json", &loads)
+	hyssuite.Read("goals.json", &loads)
 	for _, l := range loads {
 		t.Run(l.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/core/hysgather/delegates_test.go
+++ b/core/hysgather/delegates_test.go
@@ -1,8 +1,6 @@
 package hysgather_test
 
 import (
-	"encoding/json"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +8,7 @@
 
 	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hyssuite"
 )
 
 // delegatesScript is one script of testdata/delegates.json.
@@ -59,13 +58,7 @@
 
 var _ = Describe("the gatherers that an instance asks", func() {
 	var scripts []delegatesScript
-	data, err := os.ReadFile("testdata/delegates.json")
-	if err == nil {
-		err = json.Unmarshal(data, &scripts)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("delegates.json", &scripts)
 	for _, s := range scripts {
 		It("are as wanted: "+s.Name, s.run)
 	}
--- a/core/hyslosses/losses_test.go
+++ b/core/hyslosses/losses_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -26,14 +25,8 @@
 }
 
 func loadScripts() []script {
-	data, err := os.ReadFile("testdata/losses.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []script
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("losses.json", &scripts)
 	return scripts
 }
 
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"encoding/json"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hyssuite"
 )
 
 // directoryStep is one step of testdata/directory.json: one of the actions, and
@@ -106,13 +106,7 @@
 		Name  string
 		Steps []directoryStep
 	}
-	data, err := os.ReadFile("testdata/directory.json")
-	if err == nil {
-		err = json.Unmarshal(data, &scripts)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("directory.json", &scripts)
 	for _, s := range scripts {
 		It(s.Name, func() {
 			d := hysmember.NewDirectory()
--- a/core/hysmember/gatherer_test.go
+++ b/core/hysmember/gatherer_test.go
@@ -1,14 +1,13 @@
 package hysmember_test
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hyssuite"
 )
 
 // gathererCase is one fleet of testdata/gatherers.json.
@@ -57,13 +56,7 @@
 
 var _ = Describe("who gathers", func() {
 	var cases []gathererCase
-	data, err := os.ReadFile("testdata/gatherers.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("gatherers.json", &cases)
 	for _, c := range cases {
 		It("is as wanted: "+c.Name, func() {
 			all, held := c.fleet()
--- a/core/hyspartial/partial_test.go
+++ b/core/hyspartial/partial_test.go
@@ -1,8 +1,6 @@
 package hyspartial_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -40,13 +38,7 @@
 
 var _ = Describe("the decision", func() {
 	var cases []decideCase
-	data, err := os.ReadFile("testdata/decide.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("decide.json", &cases)
 	for _, c := range cases {
 		It(c.Name, func() { Expect(c.decide().String()).To(Equal(c.Verdict)) })
 	}
--- a/core/hysqueue/queue_test.go
+++ b/core/hysqueue/queue_test.go
@@ -1,9 +1,7 @@
 package hysqueue_test
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -63,13 +61,7 @@
 		Push  []string
 		Order []string
 	}
-	data, err := os.ReadFile("testdata/order.json")
-	if err == nil {
-		err = json.Unmarshal(data, &scripts)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("order.json", &scripts)
 	for _, s := range scripts {
 		It(s.Name, func() {
 			var options []hysqueue.Option
--- a/core/hysroute/route_test.go
+++ b/core/hysroute/route_test.go
@@ -1,8 +1,6 @@
 package hysroute_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
@@ -42,13 +40,7 @@
 
 var _ = Describe("matching", func() {
 	var cases []struct{ Name, Host, Path, Route string }
-	data, err := os.ReadFile("testdata/match.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("match.json", &cases)
 	for _, c := range cases {
 		It(c.Name, func() {
 			state, _ := configuration()
--- a/core/hysticket/state_test.go
+++ b/core/hysticket/state_test.go
@@ -1,8 +1,6 @@
 package hysticket_test
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -26,14 +24,8 @@
 }
 
 var _ = Describe("State.Apply", func() {
-	data, err := os.ReadFile("testdata/apply.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []applyScript
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("apply.json", &scripts)
 	for _, script := range scripts {
 		It(script.Name, func() {
 			var state hysticket.State
--- a/internal/hyssuite/suite.go
+++ b/internal/hyssuite/suite.go
@@ -5,11 +5,15 @@
 //
 //	func TestMain(m *testing.M) { hyssuite.Main(m, 500) } // only with fuzzing
 //	func TestTicket(t *testing.T) { hyssuite.Run(t, "Ticket") }
+//	hyssuite.Read("tickets.json", &scripts) // the scripts of a test
 package hyssuite
 
 import (
+	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"testing"
 
@@ -49,3 +53,16 @@
 	suite.RandomSeed = specSeed
 	ginkgo.RunSpecs(t, name, suite, reporter)
 }
+
+// Read decodes a JSON file of the calling package's testdata. Tests are made from such
+// files before they run, so that one that can't be read panics.
+func Read(name string, into any) {
+	path := filepath.Join("testdata", name)
+	data, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(data, into)
+	}
+	if err != nil {
+		panic(fmt.Errorf("hyssuite.Read: %s: %w", path, err))
+	}
+}
--- a/io/hysclaims/claims_test.go
+++ b/io/hysclaims/claims_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -154,14 +153,8 @@
 }
 
 var _ = Describe("Claims", func() {
-	data, err := os.ReadFile("testdata/claims.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []script
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("claims.json", &scripts)
 	for _, script := range scripts {
 		It(script.Name, func() {
 			b := newBench()
--- a/io/hysconfig/keeper_test.go
+++ b/io/hysconfig/keeper_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http/httptest"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -99,14 +97,8 @@
 }
 
 var _ = Describe("Keeper", func() {
-	data, err := os.ReadFile("testdata/keeper.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []script
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("keeper.json", &scripts)
 	for _, script := range scripts {
 		It(script.Name, func() {
 			b := newBench(2)
--- a/io/hysdaemon/booking_test.go
+++ b/io/hysdaemon/booking_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
 	"time"
 
 	"github.com/google/uuid"
@@ -13,6 +12,7 @@
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysticket"
 	"hyssopshore/internal/hysstandin"
+	"hyssopshore/internal/hyssuite"
 	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysclaims"
 	"hyssopshore/io/hysstore"
@@ -75,14 +75,8 @@
 	})
 	AfterEach(func() { c.Platform.SetFault(hysstandin.PlatformFault{}) })
 
-	data, err := os.ReadFile("testdata/bookings.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []bookingScript
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("bookings.json", &scripts)
 	for _, script := range scripts {
 		It("runs at most once, and each send has a true answer: "+script.Name, func() {
 			id := hysquery.RequestID(uuid.Must(uuid.NewV7()).String())
--- a/io/hysdaemon/configuration_test.go
+++ b/io/hysdaemon/configuration_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,6 +12,7 @@
 	"hyssopshore/core/hysgroup"
 	"hyssopshore/core/hysticket"
 	"hyssopshore/internal/hysstandin"
+	"hyssopshore/internal/hyssuite"
 	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysconfig"
 	"hyssopshore/io/hysstore"
@@ -92,14 +91,8 @@
 	})
 	AfterEach(func() { c.Platform.SetFault(hysstandin.PlatformFault{}) })
 
-	data, err := os.ReadFile("testdata/spread.json")
-	if err != nil {
-		panic(err)
-	}
 	var scripts []spreadScript
-	if err := json.Unmarshal(data, &scripts); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("spread.json", &scripts)
 	for _, script := range scripts {
 		It("is in force everywhere in 2 s: "+script.Name, func() {
 			slowest := time.Duration(0)
--- a/io/hysforward/endless_test.go
+++ b/io/hysforward/endless_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -13,6 +11,7 @@
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hyssuite"
 	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysforward"
 )
@@ -35,13 +34,7 @@
 
 var _ = Describe("a response without end", func() {
 	var cases []endlessCase
-	data, err := os.ReadFile("testdata/endless.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("endless.json", &cases)
 	for _, c := range cases {
 		It("is given up within bounds, and other requests go on: "+c.Name, func() {
 			endless, address := c.Serve()
--- a/io/hysforward/forward_test.go
+++ b/io/hysforward/forward_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -122,13 +120,7 @@
 
 var _ = Describe("the responses of searchers", func() {
 	var cases []responseCase
-	data, err := os.ReadFile("testdata/responses.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("responses.json", &cases)
 	for _, c := range cases {
 		It(c.Name, func() {
 			s := serve(c)
--- a/io/hyshttp/http_test.go
+++ b/io/hyshttp/http_test.go
@@ -3,11 +3,9 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -88,14 +86,8 @@
 }
 
 func loadRaw() []rawCase {
-	data, err := os.ReadFile("testdata/raw.json")
-	if err != nil {
-		panic(err)
-	}
 	var cases []rawCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("raw.json", &cases)
 	return cases
 }
 
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -160,13 +158,7 @@
 
 var _ = Describe("the ingress", func() {
 	var cases []requestCase
-	data, err := os.ReadFile("testdata/requests.json")
-	if err == nil {
-		err = json.Unmarshal(data, &cases)
-	}
-	if err != nil {
-		panic(err)
-	}
+	hyssuite.Read("requests.json", &cases)
 	for _, c := range cases {
 		It(c.Name, func() {
 			f := newFixture(c)
--- a/io/hysoperator/operator_test.go
+++ b/io/hysoperator/operator_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -89,14 +87,8 @@
 }
 
 func loadRequests() []requestCase {
-	data, err := os.ReadFile("testdata/requests.json")
-	if err != nil {
-		panic(err)
-	}
 	var cases []requestCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("requests.json", &cases)
 	return cases
 }
 
--- a/io/hyspeer/peer_test.go
+++ b/io/hyspeer/peer_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -150,14 +149,8 @@
 }
 
 var _ = Describe("a dispatch whose connection fails", func() {
-	data, err := os.ReadFile("testdata/faults.json")
-	if err != nil {
-		panic(err)
-	}
 	var cases []faultCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("faults.json", &cases)
 	for _, f := range cases {
 		It(f.Name, f.check)
 	}
--- a/io/hyssettings/settings_test.go
+++ b/io/hyssettings/settings_test.go
@@ -1,7 +1,6 @@
 package hyssettings_test
 
 import (
-	"encoding/json"
 	"os"
 	"strings"
 	"testing"
@@ -48,14 +47,8 @@
 }
 
 func loadCases() []checkCase {
-	data, err := os.ReadFile("testdata/check.json")
-	if err != nil {
-		panic(err)
-	}
 	var cases []checkCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		panic(err)
-	}
+	hyssuite.Read("check.json", &cases)
 	return cases
 }
 
