Read the store when the reader is lost in the first seconds, read as a newcomer

Ruled out: later starts, which do not wait.

Both conditions hold now; the new spec timed out after 0.9 s without a watch before and passes after. The doc comment of DelayWithin is set anew. Conclusion: mended.

--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -78,11 +78,10 @@
 
 // DelayWithin returns how long a send may run before it is hedged whose reply is due
 // within a goal, where most take a usual time and another replica is likely to take the
-// other time. It is
-// no shorter than a part of the goal, within which a hedge is not needed yet, and
-// short enough for the other replica to answer within the goal: a slow replica makes
-// the usual time of its shard its own, so that this alone would let hedges come when
-// the goal is over.
+// other time. It is no shorter than a part of the goal, within which a hedge is not
+// needed yet, and short enough for the other replica to answer within the goal: a slow
+// replica makes the usual time of its shard its own, so that this alone would let hedges
+// come when the goal is over.
 func DelayWithin(goal, usual, other time.Duration) time.Duration {
 	earliest := time.Duration(earliestPart * float64(goal))
 	latest := goal - time.Duration(lateFactor*float64(other))
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -72,7 +72,7 @@
 // which starts at the same time, instead of reading everything itself.
 func (f *Front) awaitsReader(p progress) bool {
 	_, ok := f.reader()
-	return ok && f.settings.FirstStart && !f.callersWait() && time.Since(p.began) < firstPatience
+	return ok && f.settings.FirstStart && !f.listed.Load() && !f.callersWait() && time.Since(p.began) < firstPatience
 }
 
 // follow keeps the configuration and the list of the searchers at the newest,
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -123,6 +123,29 @@
 		Expect(reads).To(Equal(1), "only the reader reads")
 	})
 
+	It("reads the store itself once it has lost the other one right after the first start", func() {
+		one, other := newDaemon("127.0.0.58"), newDaemon("127.0.0.59")
+		one.settings.FirstStart, other.settings.FirstStart = true, true
+		all := hysmember.Instances{one.instance(), other.instance()}
+		if _, ok := all.Reader(one.settings.Instance); !ok {
+			one, other = other, one
+		}
+		link = hystest.NewProxy(other.settings.PeerAddress)
+		DeferCleanup(link.Close)
+		for i := range all {
+			if all[i].ID == other.settings.Instance {
+				all[i].Address = link.Address()
+			}
+		}
+		followerStore = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
+		other.start(&store{version: 1, revision: 5, entries: followerStore.entries, peers: all})
+		one.start(followerStore)
+		Eventually(one.log.String, "4s", "5ms").Should(ContainSubstring("reader followed"))
+		before := watched(followerStore)()
+		link.Close()
+		Eventually(watched(followerStore), "900ms", "5ms").Should(BeNumerically(">", before))
+	})
+
 	It("reads the store itself once the other one has stopped", func() {
 		startBoth("127.0.0.13", "127.0.0.14")
 		reader.stop()
