Look only at services in which sub-requests wait

The dispatcher matched each of 227 services a hundred times a second. Ruled out: garbage collection (none in 20 s), the platform's watches, the opening of connections.

Now the services with waiting sub-requests are kept, and the ticker runs while there are any. Smoothed waits are forgotten when a new one begins. A send gets a goroutine of its own: there was one for each slot of each searcher, 4,725 in a daemon of that site.

BenchmarkQuery took settings without defaults and panicked; it takes them now, and 90 shards.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -63,6 +63,7 @@
 func (p pressures) smooth(key pressureKey, now time.Time, wait time.Duration) time.Duration {
 	known, ok := p[key]
 	if !ok {
+		p.expire(now)
 		known = pressure{at: now}
 	}
 	kept := math.Exp(-now.Sub(known.at).Seconds() / pressureSpan.Seconds())
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -26,7 +26,8 @@
 // sent again.
 const minRetryAfter = 10 * time.Millisecond
 
-// matchInterval is how often replicas whose backoff has ended get work.
+// matchInterval is how often replicas whose backoff has ended get work, while any
+// waits.
 const matchInterval = 10 * time.Millisecond
 
 // Dispatcher runs sub-requests on searchers. It is safe for concurrent use.
@@ -45,6 +46,7 @@
 	// connection.
 	connected ConnectedFunc
 	tables    map[hysservice.Name]*table
+	backlog   *backlog
 }
 
 // BudgetFunc returns the budget of the extra sends of a service.
@@ -116,7 +118,7 @@
 		now: time.Now, send: send, hedging: true, admit: true,
 		hedge:  HedgePolicy{Percent: hedgePercent, Unknown: defaultHedgeDelay, Reserve: hedgeReserve},
 		budget: func(hysservice.Name) *hysbudget.Budget { return hysbudget.New(budgetShare, budgetLimit) },
-		tables: make(map[hysservice.Name]*table), pooled: newPooled(),
+		tables: make(map[hysservice.Name]*table), pooled: newPooled(), backlog: newBacklog(),
 		connected: func(hysmember.Searcher) bool { return true },
 	}
 	for _, o := range options {
@@ -133,29 +135,33 @@
 // Run gives work to replicas whose backoff has ended, until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	ticker := time.NewTicker(matchInterval)
+	ticker.Stop()
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.backlog.began:
+			ticker.Reset(matchInterval)
 		case <-ticker.C:
-			d.matchAll()
+			if d.matchBacklog() == 0 {
+				ticker.Stop()
+			}
 		}
 	}
 }
 
-func (d *Dispatcher) matchAll() {
-	d.mu.Lock()
-	tables := make([]*table, 0, len(d.tables))
-	for _, t := range d.tables {
-		tables = append(tables, t)
-	}
-	d.mu.Unlock()
-	for _, t := range tables {
-		t.mu.Lock()
-		t.match()
-		t.mu.Unlock()
+// matchBacklog matches the services in which sub-requests wait, and returns in how
+// many some still do.
+func (d *Dispatcher) matchBacklog() int {
+	waiting := 0
+	for _, t := range d.backlog.take() {
+		if t.matchAll() {
+			d.backlog.add(t)
+			waiting++
+		}
 	}
+	return waiting
 }
 
 func (d *Dispatcher) table(service hysservice.Name) *table {
--- /dev/null
+++ b/core/hysdispatch/idle_test.go
@@ -0,0 +1,58 @@
+package hysdispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hyssopshore/core/hysdispatch"
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysservice"
+)
+
+// TestIdleDispatcher replays, in virtual time, a daemon of a large fleet: it has many
+// services and nothing to do. It must not look at them, and still find at once what
+// waits for a replica that rests.
+func TestIdleDispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var looks atomic.Int64
+		clock := hysdispatch.WithClock(func() time.Time {
+			looks.Add(1)
+			return time.Now()
+		})
+		refused := true
+		d := hysdispatch.New(func(context.Context, hysmember.Searcher, hysdispatch.SubRequest) hysdispatch.Result {
+			if refused {
+				refused = false
+				return hysdispatch.Result{Fault: hysdispatch.FaultRefused, NotSent: true}
+			}
+			return hysdispatch.Result{}
+		}, clock)
+		ctx, stop := context.WithCancel(context.Background())
+		go d.Run(ctx)
+		d.SetReplicas(service, replicas(1), 1)
+		for n := range 200 {
+			d.SetReplicas(hysservice.Name(fmt.Sprint("shard-", n)), replicas(3), 7)
+		}
+		synctest.Wait()
+		before := looks.Load()
+		time.Sleep(time.Minute)
+		g.Expect(looks.Load()-before).To(gomega.BeZero(), "looks of an idle minute")
+
+		d.Submit(ctx, forwarded(1))
+		began := time.Now()
+		reply := d.Submit(ctx, forwarded(2))
+		g.Expect(reply.Reason).To(gomega.BeEmpty())
+		g.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 50*time.Millisecond)), "the replica's rest")
+		before = looks.Load()
+		time.Sleep(time.Minute)
+		g.Expect(looks.Load()-before).To(gomega.BeZero(), "looks of an idle minute after work")
+		stop()
+	})
+}
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -89,7 +89,6 @@
 	// urgent one was last answered.
 	bulkAt   time.Time
 	urgentAt time.Time
-	jobs     chan job
 	// connected tells whether a send need not wait for a connection.
 	connected ConnectedFunc
 }
@@ -113,7 +112,7 @@
 		Permit(triggerRestarted, stateServing)
 	return &replica{
 		Replica: r, machine: m, slots: slots, concurrency: newConcurrency(slots),
-		jobs: make(chan job, slots), connected: connected, restraint: asked,
+		connected: connected, restraint: asked,
 	}
 }
 
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -39,6 +39,7 @@
 	budget    *hysbudget.Budget
 	pooled    *pooled
 	connected ConnectedFunc
+	backlog   *backlog
 	queue     []hysqueue.Option
 	shards    map[shardKey]*shard
 	replicas  map[hysmember.SearcherID]*replica
@@ -84,13 +85,13 @@
 
 func newTable(d *Dispatcher, budget *hysbudget.Budget) *table {
 	return &table{
-		now: d.now, send: d.send, queue: d.queue, budget: budget, pooled: d.pooled, connected: d.connected,
+		now: d.now, send: d.send, queue: d.queue, budget: budget, pooled: d.pooled, connected: d.connected, backlog: d.backlog,
 		shards:   make(map[shardKey]*shard),
 		replicas: make(map[hysmember.SearcherID]*replica), restraints: make(restraints),
 	}
 }
 
-// set replaces the replicas and starts the workers of new ones.
+// set replaces the replicas.
 func (t *table) set(replicas []Replica, slots int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,9 +100,8 @@
 		listed[r.Searcher.ID] = true
 		t.update(r, slots)
 	}
-	for id, r := range t.replicas {
+	for id := range t.replicas {
 		if !listed[id] {
-			close(r.jobs)
 			delete(t.replicas, id)
 			t.restraints.drop(id, t.now())
 		}
@@ -117,15 +117,11 @@
 	}
 	known, ok := t.replicas[updated.Searcher.ID]
 	if ok && (known.Searcher.Address != updated.Searcher.Address || known.slots != slots) {
-		close(known.jobs)
 		ok = false
 	}
 	if !ok {
 		known = newReplica(updated, slots, t.restraints.of(updated.Searcher.ID, updated.Incarnation), t.connected)
 		t.replicas[updated.Searcher.ID] = known
-		for range slots {
-			go t.work(known)
-		}
 	}
 	if updated.Incarnation > known.Incarnation {
 		known.restart()
@@ -174,14 +170,35 @@
 
 // match gives waiting sub-requests to free slots.
 func (t *table) match() {
-	now := t.now()
 	for _, s := range t.shards {
 		t.matchShard(s)
-		s.pressure.expire(now)
 	}
 }
 
+// matchAll does the same and reports whether some still wait.
+func (t *table) matchAll() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	waiting := false
+	for _, s := range t.shards {
+		t.matchWaiting(s)
+		waiting = waiting || s.queue.Len() > 0
+	}
+	return waiting
+}
+
+// matchShard gives the sub-requests of a shard to free slots. What is left waits for
+// the end of another one, or of a replica's rest.
 func (t *table) matchShard(s *shard) {
+	if t.matchWaiting(s); s.queue.Len() > 0 {
+		t.backlog.add(t)
+	}
+}
+
+func (t *table) matchWaiting(s *shard) {
+	if s.queue.Len() == 0 {
+		return
+	}
 	now := t.now()
 	s.queue.Demote(now)
 	for s.queue.Len() > 0 && t.matchOne(s, now) {
@@ -257,14 +274,7 @@
 func (t *table) start(r *replica, item hysqueue.Item) {
 	w := item.Work.(*waiter)
 	r.start(w, t.now())
-	r.jobs <- job{waiter: w, item: item, searcher: r.Searcher}
-}
-
-// work sends what is given to one slot of a replica.
-func (t *table) work(r *replica) {
-	for j := range r.jobs {
-		t.run(r, j)
-	}
+	go t.run(r, job{waiter: w, item: item, searcher: r.Searcher})
 }
 
 func (t *table) run(r *replica, j job) {
--- a/io/hysfront/query_bench_test.go
+++ b/io/hysfront/query_bench_test.go
@@ -55,16 +55,17 @@
 	}
 }
 
-// BenchmarkQuery measures a query over 36 shards through the ingress of a
+// BenchmarkQuery measures a query over 90 shards through the ingress of a
 // daemon, one at a time.
 func BenchmarkQuery(b *testing.B) {
-	const shards, copies = 36, 3
+	const shards, copies = 90, 3
 	route := &hysroute.Route{
 		Name: "call", Host: "rota.example", Prefix: "/", Idempotent: true, Timeout: time.Second,
 		Goal: 500 * time.Millisecond, TopK: 10, Minimum: 0.9, MaxAttempts: 2,
 	}
-	front := hysfront.New(hysfront.Settings{Instance: "entry", Zone: "z", Region: "r", RetryShare: 0.2, RetrySlack: 50},
-		hysfront.Source{}, headers, slog.New(slog.DiscardHandler))
+	settings := hysfront.Settings{Instance: "entry", Zone: "z", Region: "r", RetryShare: 0.2, RetrySlack: 50}
+	settings.Defaults()
+	front := hysfront.New(settings, hysfront.Source{}, headers, slog.New(slog.DiscardHandler))
 	var entries hysmember.Entries
 	for s := range shards {
 		name := hysservice.Name(fmt.Sprint("shard-", s))
