--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -226,12 +226,6 @@
 	return r.Distance + handshakeTime
 }
 
-// score orders free replicas; the lowest is the best.
-func (r *replica) score(now time.Time, usual time.Duration) float64 {
-	wait := float64(len(r.active)+1) * (r.expected(now, usual) + time.Millisecond).Seconds()
-	return wait + r.reliability.cost(now).Seconds()
-}
-
 func (r *replica) start(w *waiter, now time.Time) {
 	w.replica, w.started = r, now
 	r.active = append(r.active, w)
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -27,10 +27,6 @@
 // latencySpan is how far back the hedging quantile looks.
 const latencySpan = 2 * time.Second
 
-// slowFactor is how much slower than the best replica one may be to get work
-// that could wait for a better one.
-const slowFactor = 2
-
 // table is the shared state of one service.
 type table struct {
 	mu        sync.Mutex
@@ -241,53 +237,6 @@
 	return true
 }
 
-// best returns the best replica that is free and not so slow that waiting for
-// another is better.
-func (s *shard) best(now time.Time, without []*replica) *replica {
-	patience, usual := s.patience(now), s.usualTime()
-	var best *replica
-	for _, r := range s.replicas {
-		if !r.free(now) || slices.Contains(without, r) || r.expected(now, usual) > patience {
-			continue
-		}
-		if best == nil || r.score(now, usual) < best.score(now, usual) {
-			best = r
-		}
-	}
-	return best
-}
-
-// unknownTime stands for the slot time of a sub-request until one has ended, so
-// that the first ones do not all wait for the nearest replica.
-const unknownTime = 10 * time.Millisecond
-
-// usualTime is the average slot time of a sub-request.
-func (s *shard) usualTime() time.Duration {
-	if s.mean == 0 {
-		return unknownTime
-	}
-	return max(s.mean, time.Millisecond)
-}
-
-// patience is how long a sub-request would take at the better replicas, the
-// wait for them included.
-func (s *shard) patience(now time.Time) time.Duration {
-	fastest, usual := time.Duration(-1), s.usualTime()
-	for _, r := range s.replicas {
-		if e := r.expected(now, usual) + r.reliability.cost(now); r.serves(now) && (fastest < 0 || e < fastest) {
-			fastest = e
-		}
-	}
-	limit := slowFactor * max(fastest, usual)
-	slots := 0.0
-	for _, r := range s.replicas {
-		if r.serves(now) && r.expected(now, usual) <= limit {
-			slots += r.concurrency.limit
-		}
-	}
-	return limit + time.Duration(float64(usual)*float64(s.queue.Len())/max(slots, minConcurrency))
-}
-
 func (t *table) start(r *replica, item hysqueue.Item) {
 	w := item.Work.(*waiter)
 	r.start(w, t.now())
