--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -24,10 +24,6 @@
 	unrun int
 	last  Result
 	from  hysmember.SearcherID
-	// lookAt is when the next look for a hedge is due; cameLate is set while one is put
-	// off.
-	lookAt   time.Time
-	cameLate bool
 }
 
 func (c *call) key() shardKey {
@@ -47,7 +43,7 @@
 func (c *call) run(ctx context.Context) SubReply {
 	sends, cancel := c.detach(ctx)
 	c.push(sends)
-	hedge := time.NewTimer(c.nextLook(c.firstLook()))
+	hedge := c.hedgeTimer()
 	defer hedge.Stop()
 	reply := c.await(ctx, sends, hedge)
 	c.abandon()
@@ -63,7 +59,7 @@
 		case <-ctx.Done():
 			return c.timeout()
 		case <-hedge.C:
-			hedge.Reset(c.nextLook(c.look(sends)))
+			hedge.Reset(c.hedge(sends))
 		case o := <-c.results:
 			c.running--
 			if reply, done := c.settle(ctx, sends, o); done {
--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -22,45 +22,18 @@
 // that comes later can still make it.
 const earliestPart = 0.3
 
-// A look that is late by lateLook tells that this process has had no processor. It waits
-// once more for no longer than latePart of the time that the sub-request has.
-const (
-	lateLook = 3 * time.Millisecond
-	latePart = 0.1
-)
-
 // lateFactor is how many times its usual time another replica is given to answer a
 // hedge within the goal.
 const lateFactor = 1.5
 
-// firstLook is when to look first whether a hedge is due.
-func (c *call) firstLook() time.Duration {
-	if !c.hedgeable() {
-		return time.Until(c.sub.Deadline)
-	}
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	return c.hedgeDelay(c.table.shard(c.key()), c.sends[len(c.sends)-1])
-}
-
-// nextLook notes when the next look is due.
-func (c *call) nextLook(delay time.Duration) time.Duration {
-	c.lookAt = c.table.now().Add(delay)
-	return delay
-}
-
-// look hedges if a hedge is due, and returns when to look again. It answers this load:
-// a process gets so little of its processor that the replies which it waits for are
-// there and not read. To hedge them all would leave it even less, so one that comes
-// late to its look waits once more for as long as it was late.
-func (c *call) look(ctx context.Context) time.Duration {
-	late := c.table.now().Sub(c.lookAt)
-	if late < lateLook || c.cameLate {
-		c.cameLate = false
-		return c.hedge(ctx)
+func (c *call) hedgeTimer() *time.Timer {
+	delay := time.Until(c.sub.Deadline)
+	if c.hedgeable() {
+		c.table.mu.Lock()
+		defer c.table.mu.Unlock()
+		delay = c.hedgeDelay(c.table.shard(c.key()), c.sends[len(c.sends)-1])
 	}
-	c.cameLate = true
-	return min(late, time.Duration(latePart*float64(c.sub.allowance(c.table.now()))))
+	return time.NewTimer(delay)
 }
 
 func (c *call) hedgeable() bool {
