--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -111,58 +111,6 @@
 	return SubReply{}, false
 }
 
-// Admit decides whether a query whose answer needs a minimum of its shards may
-// be run, before anything of it is sent. It answers the load of a burst: the
-// shards' queues grow, every query waits in all of them, and soon all are late.
-// A part of the queries is refused at once instead, all of a query's shards
-// together, by the wait of the shards that its answer needs. The reply to a
-// refused query says when to send it again.
-func (d *Dispatcher) Admit(subs []SubRequest, minimum int) (SubReply, bool) {
-	waits := make([]time.Duration, 0, len(subs))
-	rests := make([]time.Duration, 0, len(subs))
-	means := make([]time.Duration, 0, len(subs))
-	for i := range subs {
-		if wait, rest, mean, usable := d.smoothedWait(&subs[i]); usable {
-			waits, rests, means = append(waits, wait), append(rests, rest), append(means, mean)
-		}
-	}
-	first := &subs[0]
-	if len(waits) < minimum {
-		return notSent(*first, hysquery.ShardUnavailable, "too few shards have searchers", unavailableRetry), false
-	}
-	slices.Sort(waits)
-	slices.Sort(rests)
-	slices.Sort(means)
-	now, wait := d.now(), waits[minimum-1]
-	if rest := rests[minimum-1]; rest > first.allowance(now) {
-		return notSent(*first, hysquery.ShardOverloaded, "too few shards have a searcher that may be sent to now", rest), false
-	}
-	part := first.admitted(now, wait, means[minimum-1])
-	if first.drawn() > part {
-		return notSent(*first, hysquery.ShardOverloaded, "the shards' queues are too long", first.returnAfter(now, wait, part)), false
-	}
-	for i := range subs {
-		subs[i].Admitted = true
-	}
-	return SubReply{}, true
-}
-
-// smoothedWait returns how long a sub-request would wait for a slot, how long its
-// shard rests, how long a send to it takes on average, and whether it has a searcher.
-func (d *Dispatcher) smoothedWait(sub *SubRequest) (wait, rest, mean time.Duration, usable bool) {
-	t := d.table(sub.Service)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := &call{dispatcher: d, table: t, sub: *sub}
-	s, ok := t.shards[c.key()]
-	if !ok || !s.hasReplica() {
-		return 0, 0, 0, false
-	}
-	now := t.now()
-	key := sub.pressureKey()
-	return s.pressure.smooth(key, now, s.wait(now, c.item(s, nil))), s.rest(now), s.mean, true
-}
-
 func (s *SubRequest) pressureKey() pressureKey {
 	return pressureKey{group: s.Group, class: s.Class, late: s.Returning}
 }
