Test the lateness through the ingress, and a clearer name in the choice

TestSlowWriter replays a daemon that needs 9 ms to send an answer in part: 145 ms after the request at first, 136 after a few.

--- a/core/hysdispatch/choice.go
+++ b/core/hysdispatch/choice.go
@@ -13,10 +13,10 @@
 // that the first ones do not all wait for the nearest replica.
 const unknownTime = 10 * time.Millisecond
 
-// candidate is a replica with how long it is expected to take.
+// candidate is a replica with how long a sub-request is likely to take there.
 type candidate struct {
 	*replica
-	expected time.Duration
+	likely time.Duration
 	// faults is what its share of faults costs, as a time.
 	faults time.Duration
 }
@@ -28,14 +28,14 @@
 	usual := s.usualTime()
 	all := make(candidates, 0, len(s.replicas))
 	for _, r := range s.replicas {
-		all = append(all, candidate{replica: r, expected: r.expected(now, usual), faults: r.reliability.cost(now)})
+		all = append(all, candidate{replica: r, likely: r.expected(now, usual), faults: r.reliability.cost(now)})
 	}
 	return all
 }
 
 // score orders free replicas; the lowest is the best.
 func (c candidate) score() float64 {
-	wait := float64(len(c.active)+1) * (c.expected + time.Millisecond).Seconds()
+	wait := float64(len(c.active)+1) * (c.likely + time.Millisecond).Seconds()
 	return wait + c.faults.Seconds()
 }
 
@@ -46,7 +46,7 @@
 	patience := s.patience(now, all)
 	var best candidate
 	for _, c := range all {
-		if !c.free(now) || slices.Contains(without, c.replica) || c.expected > patience {
+		if !c.free(now) || slices.Contains(without, c.replica) || c.likely > patience {
 			continue
 		}
 		if best.replica == nil || c.score() < best.score() {
@@ -69,14 +69,14 @@
 func (s *shard) patience(now time.Time, all candidates) time.Duration {
 	fastest, usual := time.Duration(-1), s.usualTime()
 	for _, c := range all {
-		if e := c.expected + c.faults; c.serves(now) && (fastest < 0 || e < fastest) {
+		if e := c.likely + c.faults; c.serves(now) && (fastest < 0 || e < fastest) {
 			fastest = e
 		}
 	}
 	limit := slowFactor * max(fastest, usual)
 	slots := 0.0
 	for _, c := range all {
-		if c.serves(now) && c.expected <= limit {
+		if c.serves(now) && c.likely <= limit {
 			slots += c.concurrency.limit
 		}
 	}
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -38,6 +38,8 @@
 			Branches: hysroute.Branches{{Service: "roll", Weight: 1}}},
 		{Name: "all", Host: "127.0.0.1", Prefix: "/all/", Idempotent: true, Timeout: 2 * time.Second, Goal: 150 * time.Millisecond,
 			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, Minimum: 0.6},
+		{Name: "few", Host: "127.0.0.1", Prefix: "/few/", Idempotent: true, Timeout: 2 * time.Second, Goal: 150 * time.Millisecond,
+			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, Minimum: 0.3},
 	}, nil, hysroute.Limits{HeaderBytes: 4000, BodyBytes: 1000})
 	return c
 }
@@ -98,6 +100,13 @@
 }
 
 func newFixture(c requestCase) *fixture {
+	f := newIngress(c)
+	f.server = httptest.NewServer(f.ingress)
+	return f
+}
+
+// newIngress is a fixture without a server.
+func newIngress(c requestCase) *fixture {
 	f := &fixture{records: make(chan hysingress.Record, 10), subs: make(chan hysdispatch.SubRequest, 10)}
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, Closing: func() bool { return false },
@@ -127,7 +136,6 @@
 			return reply.reply(sub.Service)
 		},
 	}
-	f.server = httptest.NewServer(f.ingress)
 	return f
 }
 
--- /dev/null
+++ b/io/hysingress/lateness_test.go
@@ -0,0 +1,50 @@
+package hysingress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hyssopshore/core/hysservice"
+)
+
+// slowWriter takes a time to send what was written.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	takes time.Duration
+}
+
+// Flush sends it.
+func (w slowWriter) Flush() {
+	time.Sleep(w.takes)
+	w.ResponseRecorder.Flush()
+}
+
+// TestSlowWriter replays, in virtual time, answers in part of a daemon that needs some
+// milliseconds to send them: after a few they come as much earlier.
+func TestSlowWriter(t *testing.T) {
+	const late, tolerance = 9 * time.Millisecond, time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		replies := map[hysservice.Name]scriptedReply{"d1": {Status: 200}, "d2": {Status: 200}, "d3": {Status: 200, AfterMS: 400}}
+		f := newIngress(requestCase{Replies: replies})
+		var sent []time.Duration
+		for range 8 {
+			r := httptest.NewRequest(http.MethodPost, "http://127.0.0.1/few/7", http.NoBody)
+			r.Header.Set("X-Id", "r-1")
+			began := time.Now()
+			f.ingress.ServeHTTP(slowWriter{ResponseRecorder: httptest.NewRecorder(), takes: late}, r)
+			sent = append(sent, time.Since(began))
+			for range replies {
+				<-f.subs
+			}
+			<-f.records
+		}
+		g := gomega.NewWithT(t)
+		g.Expect(sent[0]).To(gomega.BeNumerically("~", 136*time.Millisecond+late, tolerance))
+		g.Expect(sent[len(sent)-1]).To(gomega.BeNumerically("~", 136*time.Millisecond, tolerance))
+	})
+}
