Let a daemon ask its reader also before the list of daemons names it

A daemon that reads the list of daemons just after others have announced themselves is not in it, and had no reader then: it read everything and watched the store for itself. Ruled out: callers that wait (none at that time).

Now it adds itself to the list when it looks for its reader. The spec with a list that lacks the daemon failed before.

--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -180,11 +180,12 @@
 	}
 }
 
-// reader is the daemon that reads the store for this one.
+// reader is the daemon that reads the store for this one, which has one also while
+// the list of daemons does not name it yet.
 func (f *Front) reader() (hysmember.Instance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reader, ok := f.announced.Reader(f.settings.Instance)
+	reader, ok := f.announced.With(f.self()).Reader(f.settings.Instance)
 	return reader, ok && reader.Address != ""
 }
 
