--- a/core/hysmember/reader.go
+++ b/core/hysmember/reader.go
@@ -11,20 +11,12 @@
 // are not those that come first by name.
 const readerKey = "reader"
 
-// With returns the instances with one more, unless they have it already.
-func (m Instances) With(one Instance) Instances {
-	if slices.ContainsFunc(m, func(i Instance) bool { return i.ID == one.ID }) {
-		return m
-	}
-	return append(slices.Clone(m), one)
-}
-
 // Reader returns the instance of the same availability zone that an instance
 // learns the changes of the store from, and false if it reads them itself: it
 // is a reader, or not among the instances.
 //
 // With it the calls to the store grow with the availability zones and every
-// followersPerReader-th instance, and none of what is handed on leaves the zone. Instances
+// sixteenth instance, and none of what is handed on leaves the zone. Instances
 // that disagree about the reader get the same, since each says how old its
 // knowledge is.
 func (m Instances) Reader(self InstanceID) (Instance, bool) {
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -180,12 +180,11 @@
 	}
 }
 
-// reader is the daemon that reads the store for this one, which has one also while
-// the list of daemons does not name it yet.
+// reader is the daemon that reads the store for this one.
 func (f *Front) reader() (hysmember.Instance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reader, ok := f.announced.With(f.self()).Reader(f.settings.Instance)
+	reader, ok := f.announced.Reader(f.settings.Instance)
 	return reader, ok && reader.Address != ""
 }
 
