--- a/core/hysdispatch/admit.go
+++ b/core/hysdispatch/admit.go
@@ -18,7 +18,7 @@
 
 type outlooks []outlook
 
-// at returns the value of a field that so many shards keep below.
+// at returns the value of a field that so many shards do not exceed.
 func (o outlooks) at(count int, field func(outlook) time.Duration) time.Duration {
 	values := make([]time.Duration, 0, len(o))
 	for _, one := range o {
@@ -28,7 +28,8 @@
 	return values[count-1]
 }
 
-// best is the outlook of a query whose answer needs so many shards.
+// best is the outlook of a query whose answer needs so many shards; each field is of
+// the shards that are best in it.
 func (o outlooks) best(count int) outlook {
 	return outlook{
 		wait: o.at(count, func(o outlook) time.Duration { return o.wait }),
--- a/core/hysdispatch/backlog.go
+++ b/core/hysdispatch/backlog.go
@@ -8,7 +8,8 @@
 
 // backlog holds the services in which sub-requests wait for a slot. Only those are
 // looked at again while nothing happens: most daemons of a large fleet have many
-// services and little to do. It is safe for concurrent use.
+// services and little to do. It is safe for concurrent use; its lock is taken within
+// that of a table, never around it.
 type backlog struct {
 	mu     sync.Mutex
 	tables map[*table]bool
--- a/core/hysdispatch/burst_test.go
+++ b/core/hysdispatch/burst_test.go
@@ -12,7 +12,6 @@
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
-	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysservice"
 )
 
@@ -73,17 +72,7 @@
 			return
 		}
 	}
-	var wait sync.WaitGroup
-	var answered atomic.Int64
-	for _, sub := range subs {
-		wait.Go(func() {
-			if d.Submit(context.Background(), sub).Status == hysquery.ShardAnswered {
-				answered.Add(1)
-			}
-		})
-	}
-	wait.Wait()
-	if answered.Load() == int64(b.shards) && time.Since(started) <= b.goal {
+	if submitAll(d, subs) == b.shards && time.Since(started) <= b.goal {
 		result.inGoal.Add(1)
 		return
 	}
--- a/core/hysdispatch/choice.go
+++ b/core/hysdispatch/choice.go
@@ -56,6 +56,21 @@
 	return best.replica
 }
 
+// quickest is how long a sub-request is likely to take at the best of the other replicas
+// that serve, and 0 if there is none.
+func (s *shard) quickest(now time.Time, without []*replica) time.Duration {
+	best, found := time.Duration(0), false
+	for _, c := range s.candidates(now) {
+		if slices.Contains(without, c.replica) || !c.serves(now) {
+			continue
+		}
+		if !found || c.likely < best {
+			best, found = c.likely, true
+		}
+	}
+	return best
+}
+
 // usualTime is the average slot time of a sub-request.
 func (s *shard) usualTime() time.Duration {
 	if s.mean == 0 {
--- a/core/hysdispatch/crowd_test.go
+++ b/core/hysdispatch/crowd_test.go
@@ -187,17 +187,7 @@
 	if refusal, ok := d.Admit(subs, l.Shards); !ok {
 		return hysquery.ShardOverloaded, refusal.RetryAfter
 	}
-	var wait sync.WaitGroup
-	var answered atomic.Int64
-	for _, sub := range subs {
-		wait.Go(func() {
-			if d.Submit(context.Background(), sub).Status == hysquery.ShardAnswered {
-				answered.Add(1)
-			}
-		})
-	}
-	wait.Wait()
-	if answered.Load() < int64(l.Shards) {
+	if submitAll(d, subs) < l.Shards {
 		return hysquery.ShardTimeout, 0
 	}
 	return hysquery.ShardAnswered, 0
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -157,7 +157,7 @@
 func (d *Dispatcher) matchBacklog() int {
 	waiting := 0
 	for _, t := range d.backlog.take() {
-		if t.matchAll() {
+		if t.rematch() {
 			d.backlog.add(t)
 			waiting++
 		}
--- a/core/hysdispatch/dispatcher_test.go
+++ b/core/hysdispatch/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,21 @@
 	}
 }
 
+// submitAll runs the parts of a query at once and returns how many were answered.
+func submitAll(d *hysdispatch.Dispatcher, subs []hysdispatch.SubRequest) int {
+	var wait sync.WaitGroup
+	var answered atomic.Int64
+	for _, sub := range subs {
+		wait.Go(func() {
+			if d.Submit(context.Background(), sub).Status == hysquery.ShardAnswered {
+				answered.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return int(answered.Load())
+}
+
 func fault(name string) hysdispatch.Fault {
 	for f := hysdispatch.FaultNone; f <= hysdispatch.FaultSilent; f++ {
 		if f.String() == name {
--- a/core/hysdispatch/hedge.go
+++ b/core/hysdispatch/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 )
 
@@ -69,11 +68,7 @@
 	if c.sub.Due.IsZero() || left <= 0 {
 		return max(delay, minHedgeDelay)
 	}
-	other, ok := c.otherTime(s, c.table.now())
-	if !ok {
-		other = 0
-	}
-	return DelayWithin(left, delay, other)
+	return DelayWithin(left, delay, s.quickest(c.table.now(), c.tried()))
 }
 
 // DelayWithin returns how long a send may run before it is hedged whose reply is due
@@ -88,21 +83,6 @@
 	return max(min(usual, latest), earliest, minHedgeDelay)
 }
 
-// otherTime is how long the best replica that has not been tried is likely to take.
-func (c *call) otherTime(s *shard, now time.Time) (time.Duration, bool) {
-	tried, usual := c.tried(), s.usualTime()
-	best, found := time.Duration(0), false
-	for _, r := range s.replicas {
-		if slices.Contains(tried, r) || !r.serves(now) {
-			continue
-		}
-		if e := r.expected(now, usual); !found || e < best {
-			best, found = e, true
-		}
-	}
-	return best, found
-}
-
 // hedge sends once more if the last send has run for long, and returns when to
 // look again. A send that still waits for a slot is not hedged, and none is while
 // others wait: a hedge would only take a slot from them.
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -165,41 +165,43 @@
 	return s
 }
 
-// match gives waiting sub-requests to free slots.
+// match gives the waiting sub-requests of all shards to free slots.
 func (t *table) match() {
 	for _, s := range t.shards {
 		t.matchShard(s)
 	}
 }
 
-// matchAll does the same and reports whether some still wait.
-func (t *table) matchAll() bool {
+// rematch does so for what has waited, and reports whether some still does.
+func (t *table) rematch() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	waiting := false
+	left := false
 	for _, s := range t.shards {
-		t.matchWaiting(s)
-		waiting = waiting || s.queue.Len() > 0
+		left = t.give(s) || left
 	}
-	return waiting
+	return left
 }
 
-// matchShard gives the sub-requests of a shard to free slots. What is left waits for
-// the end of another one, or of a replica's rest.
+// matchShard gives the waiting sub-requests of a shard to free slots. What is left
+// waits for the end of another one, or of a replica's rest.
 func (t *table) matchShard(s *shard) {
-	if t.matchWaiting(s); s.queue.Len() > 0 {
+	if t.give(s) {
 		t.backlog.add(t)
 	}
 }
 
-func (t *table) matchWaiting(s *shard) {
+// give gives the waiting sub-requests of a shard to free slots, and reports whether
+// some are left.
+func (t *table) give(s *shard) bool {
 	if s.queue.Len() == 0 {
-		return
+		return false
 	}
 	now := t.now()
 	s.queue.Demote(now)
 	for s.queue.Len() > 0 && t.matchOne(s, now) {
 	}
+	return s.queue.Len() > 0
 }
 
 // matchOne gives the next sub-request to the best free replica that takes it.
--- a/core/hyslosses/window.go
+++ b/core/hyslosses/window.go
@@ -25,14 +25,8 @@
 		for _, m := range l.Missing {
 			w.Missing.add(kind(m.Reason), m.Sends, 1)
 		}
-	case outcomeRefused:
-		w.route(l.Route).Refused++
-		w.Failures.add(outcome+": "+kind(l.Reason), l.Sends, 1)
-	case outcomeFailed:
-		w.route(l.Route).Failed++
-		w.Failures.add(outcome+": "+kind(l.Reason), l.Sends, 1)
-	case outcomeAbandoned:
-		w.route(l.Route).Abandoned++
+	case outcomeRefused, outcomeFailed, outcomeAbandoned:
+		w.route(l.Route).addUnanswered(outcome)
 		w.Failures.add(outcome+": "+kind(l.Reason), l.Sends, 1)
 	default:
 		return
@@ -46,6 +40,18 @@
 	}
 }
 
+// addUnanswered counts a request without an answer.
+func (r *Route) addUnanswered(outcome string) {
+	switch outcome {
+	case outcomeRefused:
+		r.Refused++
+	case outcomeFailed:
+		r.Failed++
+	case outcomeAbandoned:
+		r.Abandoned++
+	}
+}
+
 // kind is what reasons of the same kind begin with; addresses follow.
 func kind(reason string) string {
 	text, _, _ := strings.Cut(reason, ":")
--- a/io/hysconfig/keeper.go
+++ b/io/hysconfig/keeper.go
@@ -63,11 +63,9 @@
 	revision   hysstore.Revision
 	generation hysticket.Generation
 	log        hysticket.Log
-	// written are the entries that this daemon wrote last, at wrote.
-	written hysticket.Log
-	wrote   time.Time
-	synced  time.Time
-	pages   map[hysticket.PageHash]hysticket.State
+	vouched    vouched
+	synced     time.Time
+	pages      map[hysticket.PageHash]hysticket.State
 	// garbage holds when a page was first seen to be garbage.
 	garbage map[hysticket.PageRef]time.Time
 }
--- a/io/hysconfig/watch.go
+++ b/io/hysconfig/watch.go
@@ -107,7 +107,7 @@
 	if err := k.learn(ctx, value); err != nil {
 		return fmt.Errorf("Keeper.Refresh: %w", err)
 	}
-	if k.behind() || len(k.unlogged()) > 0 {
+	if k.behind() || k.unlogged() {
 		return k.writeBack(ctx)
 	}
 	return nil
@@ -134,15 +134,16 @@
 	k.adopt(head, stored, value.Revision)
 	next := stored.Merge(k.State())
 	behind := next.Digest() != stored.Digest()
-	if !behind && len(k.unlogged()) == 0 {
+	if !behind && !k.unlogged() {
 		return nil
 	}
 	trail, err := k.trail(ctx, head)
 	if err != nil {
 		return fmt.Errorf("Keeper.writeBack: %w", err)
 	}
+	// What this daemon sees to may be in the older trail, which is read only here.
 	k.found(trail)
-	if !behind && len(k.unlogged()) == 0 {
+	if !behind && !k.unlogged() {
 		return nil
 	}
 	lost := k.Log().Without(head.Log).Without(trail)
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -29,6 +29,17 @@
 		}
 	}
 
+	// linkTo puts the link before a daemon of the list.
+	linkTo := func(d *daemon, all hysmember.Instances) {
+		link = hystest.NewProxy(d.settings.PeerAddress)
+		DeferCleanup(link.Close)
+		for i := range all {
+			if all[i].ID == d.settings.Instance {
+				all[i].Address = link.Address()
+			}
+		}
+	}
+
 	// startBoth starts two daemons that know each other, each with a view of
 	// the store of its own.
 	startBoth := func(one, other string) {
@@ -38,13 +49,7 @@
 		if _, ok := all.Reader(reader.settings.Instance); ok {
 			reader, follower = follower, reader
 		}
-		link = hystest.NewProxy(reader.settings.PeerAddress)
-		DeferCleanup(link.Close)
-		for i := range all {
-			if all[i].ID == reader.settings.Instance {
-				all[i].Address = link.Address()
-			}
-		}
+		linkTo(reader, all)
 		readerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
 		followerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
 		reader.start(readerStore)
@@ -130,13 +135,7 @@
 		if _, ok := all.Reader(one.settings.Instance); !ok {
 			one, other = other, one
 		}
-		link = hystest.NewProxy(other.settings.PeerAddress)
-		DeferCleanup(link.Close)
-		for i := range all {
-			if all[i].ID == other.settings.Instance {
-				all[i].Address = link.Address()
-			}
-		}
+		linkTo(other, all)
 		followerStore = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
 		other.start(&store{version: 1, revision: 5, entries: followerStore.entries, peers: all})
 		one.start(followerStore)
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -142,6 +142,7 @@
 	// Closing reports whether connections are to be closed after an answer.
 	Closing func() bool
 
+	// lateness is that of the answers in part that were given here.
 	lateness hyspartial.Lateness
 }
 
@@ -292,7 +293,8 @@
 	}
 }
 
-// due is when the answer must be given to make the goal of the request.
+// due is when the answer must be given to make the goal of the request. It stays the
+// same for all parts of a query.
 func (e *exchange) due() time.Time {
 	if e.dueAt.IsZero() {
 		margin := e.replyMargin() + e.ingress.lateness.Within(e.route.Goal)
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -44,10 +44,7 @@
 		if result.Answered < len(shards) {
 			e.flush()
 		}
-		if result.Answered > s.Policy.Minimum && result.Answered < len(shards) && !e.delegated {
-			// It has waited for its goal alone.
-			e.ingress.lateness.Observe(time.Since(s.Policy.Goal))
-		}
+		e.observeLateness(s.Policy, result.Answered)
 	case ctx.Err() != nil:
 		e.abandon()
 	case result.NotRun():
@@ -63,6 +60,16 @@
 	e.record.Missing = missing(shards, covered, result.Replies)
 }
 
+// observeLateness notes how late an answer in part has left. One that covers no more
+// than the minimum may have waited for that, and one for another instance has not left
+// this one's socket.
+func (e *exchange) observeLateness(p hyspartial.Policy, answered int) {
+	if answered <= p.Minimum || answered == p.Shards || e.delegated {
+		return
+	}
+	e.ingress.lateness.Observe(time.Since(p.Goal))
+}
+
 // replyMargin is how long before the goal a partial answer is given.
 func (e *exchange) replyMargin() time.Duration {
 	if e.delegated {
