Show which searchers a daemon can reach, and what refusals are derived from

Callers of a daemon that is cut off from all searchers are refused for 'queues that are too long', also after the cut; the logs could not tell a long queue from searchers that are not tried any more. core/hysreach combines what is heard from all searchers and confirms a suspicion by a few probes; its changes are logged and shown as gauges, and nothing is decided by them yet. Refusals name the queue, the running sends and the replicas that may be sent to.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -100,25 +100,31 @@
 	}
 	now := t.now()
 	if backoff := s.backoff(now); backoff > c.sub.usefulTime(now) {
-		t.holdBackRefused(s, now)
-		return notRunReply(c.sub, hysquery.ShardOverloaded, s.reason("no searcher of the shard may be sent to for now"), backoff), true
+		return c.refuse(s, now, 0, "no searcher of the shard may be sent to for now", backoff), true
 	}
 	wait := s.expectedWait(now, c.item(s, nil))
 	if now.Add(wait+s.meanTime).After(c.sub.Deadline) || s.limited() && wait > c.sub.usefulTime(now) {
-		t.holdBackRefused(s, now)
-		return notRunReply(c.sub, hysquery.ShardOverloaded, s.reason("the queue is longer than the deadline"), max(wait, minRetryAfter)), true
+		return c.refuse(s, now, wait, "the queue is longer than the deadline", max(wait, minRetryAfter)), true
 	}
 	if c.sub.Admitted {
 		return SubReply{}, false
 	}
 	smoothed := s.smoothedWaits.update(c.sub.waitKey(), now, wait)
 	if fraction := c.sub.admittedFraction(now, smoothed, s.meanTime); c.sub.refusable() && c.sub.admissionRank() > fraction {
-		t.holdBackRefused(s, now)
-		return notRunReply(c.sub, hysquery.ShardOverloaded, s.reason("the group's queue is too long"), c.sub.retryAfter(now, smoothed, fraction)), true
+		return c.refuse(s, now, smoothed, "the group's queue is too long", c.sub.retryAfter(now, smoothed, fraction)), true
 	}
 	return SubReply{}, false
 }
 
+// refuse returns the reply to a sub-request that is refused at an expected wait. The
+// caller holds the table's lock.
+func (c *call) refuse(s *shard, now time.Time, wait time.Duration, reason string, retryAfter time.Duration) SubReply {
+	c.table.holdBackRefused(s, now)
+	reply := notRunReply(c.sub, hysquery.ShardOverloaded, s.reason(reason), retryAfter)
+	reply.Queue = s.queueState(now, wait)
+	return reply
+}
+
 func (s *SubRequest) waitKey() waitKey {
 	return waitKey{group: s.Group, class: s.Class, late: s.Returning}
 }
--- a/core/hysdispatch/admit.go
+++ b/core/hysdispatch/admit.go
@@ -1,6 +1,7 @@
 package hysdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 	wait     time.Duration
 	backoff  time.Duration
 	meanTime time.Duration
+	// queue is the state of the shard.
+	queue QueueState
 }
 
 type forecasts []forecast
@@ -36,9 +39,18 @@
 		wait:     f.nthLowest(count, func(f forecast) time.Duration { return f.wait }),
 		backoff:  f.nthLowest(count, func(f forecast) time.Duration { return f.backoff }),
 		meanTime: f.nthLowest(count, func(f forecast) time.Duration { return f.meanTime }),
+		queue:    f.nthByWait(count).queue,
 	}
 }
 
+// nthByWait returns the forecast with the nth lowest wait.
+func (f forecasts) nthByWait(count int) forecast {
+	sorted := slices.SortedStableFunc(slices.Values(f), func(a, b forecast) int {
+		return cmp.Or(cmp.Compare(a.wait, b.wait), cmp.Compare(a.backoff, b.backoff))
+	})
+	return sorted[count-1]
+}
+
 // Admit decides, before any sub-request of a query is sent, whether the query may be
 // run. minimum is how many of its shards the answer needs. In a burst the queues of
 // all shards grow, every query waits in each of them, and soon all queries are late.
@@ -59,13 +71,11 @@
 	}
 	now, expected := d.now(), usable.best(minimum)
 	if expected.backoff > first.usefulTime(now) {
-		d.holdBackQuery(subs, now)
-		return notRunReply(*first, hysquery.ShardOverloaded, "too few shards have a searcher that may be sent to now", expected.backoff), false
+		return d.refuseQuery(subs, expected, "too few shards have a searcher that may be sent to now", expected.backoff), false
 	}
 	fraction := first.admittedFraction(now, expected.wait, expected.meanTime)
 	if first.admissionRank() > fraction {
-		d.holdBackQuery(subs, now)
-		return notRunReply(*first, hysquery.ShardOverloaded, "the shards' queues are too long", first.retryAfter(now, expected.wait, fraction)), false
+		return d.refuseQuery(subs, expected, "the shards' queues are too long", first.retryAfter(now, expected.wait, fraction)), false
 	}
 	for i := range subs {
 		subs[i].Admitted = true
@@ -73,6 +83,14 @@
 	return SubReply{}, true
 }
 
+// refuseQuery returns the reply to a query that is refused at a forecast.
+func (d *Dispatcher) refuseQuery(subs []SubRequest, expected forecast, reason string, retryAfter time.Duration) SubReply {
+	d.holdBackQuery(subs, d.now())
+	reply := notRunReply(subs[0], hysquery.ShardOverloaded, reason, retryAfter)
+	reply.Queue = expected.queue
+	return reply
+}
+
 // forecast returns what a sub-request can expect, and whether its shard has a
 // searcher that is not leaving.
 func (d *Dispatcher) forecast(sub *SubRequest) (forecast, bool) {
@@ -86,5 +104,5 @@
 	}
 	now := t.now()
 	wait := s.smoothedWaits.update(sub.waitKey(), now, s.expectedWait(now, c.item(s, nil)))
-	return forecast{wait: wait, backoff: s.backoff(now), meanTime: s.meanTime}, true
+	return forecast{wait: wait, backoff: s.backoff(now), meanTime: s.meanTime, queue: s.queueState(now, wait)}, true
 }
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -83,6 +83,9 @@
 	Searcher hysmember.SearcherID
 	// Sends is how many sends were made.
 	Sends int
+	// Queue is what a refusal was derived from; empty if the sub-request was not
+	// refused.
+	Queue QueueState
 }
 
 // Fault is how one send to a searcher ended.
--- /dev/null
+++ b/core/hysreach/round.go
@@ -0,0 +1,133 @@
+package hysreach
+
+import (
+	"time"
+
+	"hyssopshore/core/hysmember"
+)
+
+// ProbeTimeout is how long a probe may take to establish a connection.
+const ProbeTimeout = 150 * time.Millisecond
+
+// stallTime is how long nothing may be heard from any searcher, while sends are
+// running, before some are probed.
+const stallTime = 150 * time.Millisecond
+
+// Bounds of the time between two rounds. It doubles while rounds confirm nothing.
+const (
+	minRoundInterval = 200 * time.Millisecond
+	maxRoundInterval = 4 * time.Second
+)
+
+// round is a probe of a sample of all searchers.
+type round struct {
+	began    time.Time
+	evidence Evidence
+	pending  map[hysmember.SearcherID]bool
+	probed   int
+}
+
+// suspicion returns the evidence that this instance may be cut off from all
+// searchers.
+func (t *Tracker) suspicion(now time.Time) Evidence {
+	if t.failure != EvidenceNone {
+		return t.failure
+	}
+	quietSince := t.lastHeard
+	if t.busySince.After(quietSince) {
+		quietSince = t.busySince
+	}
+	if t.running > 0 && now.Sub(quietSince) >= stallTime {
+		return EvidenceStalled
+	}
+	return EvidenceNone
+}
+
+// startRound starts a round if there is a suspicion, and returns the searchers to
+// probe.
+func (t *Tracker) startRound(now time.Time) Targets {
+	evidence := t.suspicion(now)
+	allLost := len(t.unreachable) == len(t.searchers)
+	if evidence == EvidenceNone || t.round != nil || allLost || now.Before(t.nextRoundAt) {
+		return nil
+	}
+	sample := t.schedule.sample(t)
+	if len(sample) == 0 {
+		return nil
+	}
+	t.round = &round{began: now, evidence: evidence, pending: make(map[hysmember.SearcherID]bool), probed: len(sample)}
+	var targets Targets
+	for _, s := range sample {
+		t.round.pending[s.Searcher.ID] = true
+		targets = append(targets, s.startProbe(now))
+	}
+	return targets
+}
+
+// endRoundProbe records that one searcher of the round was reached.
+func (t *Tracker) endRoundProbe(id hysmember.SearcherID) {
+	if t.round == nil || !t.round.pending[id] {
+		return
+	}
+	delete(t.round.pending, id)
+	if len(t.round.pending) == 0 {
+		t.clearRound(t.now())
+	}
+}
+
+// endRound records that one searcher of the round was not reached, and decides after
+// the last one.
+func (t *Tracker) endRound(id hysmember.SearcherID, now time.Time) Changes {
+	r := t.round
+	if r == nil || !r.pending[id] {
+		return nil
+	}
+	delete(r.pending, id)
+	if len(r.pending) > 0 {
+		return nil
+	}
+	heard := t.lastHeard.After(r.began)
+	suspended := now.Sub(r.began) > 2*ProbeTimeout
+	if heard || suspended {
+		t.clearRound(now)
+		return nil
+	}
+	t.round, t.roundInterval, t.nextRoundAt = nil, 0, now
+	return t.loseAll(now, r)
+}
+
+// clearRound ends a round that has confirmed nothing.
+func (t *Tracker) clearRound(now time.Time) {
+	t.round = nil
+	t.roundInterval = min(max(2*t.roundInterval, minRoundInterval), maxRoundInterval)
+	t.nextRoundAt = now.Add(t.roundInterval)
+}
+
+// loseAll marks all searchers as out of reach.
+func (t *Tracker) loseAll(now time.Time, r *round) Changes {
+	t.beginHold(now)
+	if t.partitionedSince.IsZero() {
+		t.partitionedSince = now
+	}
+	changes := Changes{{}}
+	for _, s := range t.searchers {
+		evidence := EvidenceInferred
+		if s.evidence != EvidenceNone {
+			evidence = s.evidence
+		}
+		changes = append(changes, t.lose(s, now, evidence)...)
+	}
+	changes[0] = t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})
+	return changes
+}
+
+// beginHold sets the hold time of a partition, by how long ago the last one ended.
+func (t *Tracker) beginHold(now time.Time) {
+	t.reachableFrom = time.Time{}
+	if t.rejoinedAt.IsZero() || now.Sub(t.rejoinedAt) > relapseWindow {
+		t.holdTime, t.lastHoldTime = 0, 0
+		return
+	}
+	t.lastHoldTime = min(max(2*t.lastHoldTime, minHoldTime), maxHoldTime)
+	t.holdTime = t.lastHoldTime
+}
--- /dev/null
+++ b/core/hysreach/searcher.go
@@ -0,0 +1,58 @@
+package hysreach
+
+import (
+	"time"
+
+	"hyssopshore/core/hysmember"
+)
+
+// Target is a searcher that can be probed.
+type Target struct {
+	Searcher hysmember.Searcher
+	// Incarnation is higher after each start of the searcher.
+	Incarnation uint64
+	// Distance is the shortest time that a request to the searcher can take.
+	Distance time.Duration
+}
+
+// Targets is a list of targets.
+type Targets []Target
+
+// searcher is what is known of the reach of one searcher.
+type searcher struct {
+	Target
+	service *service
+	heardAt time.Time
+	// unreachableSince is zero while the searcher counts as reachable.
+	unreachableSince time.Time
+	evidence         Evidence
+	probing          bool
+	probedAt         time.Time
+	// probeInterval is the time until the next probe of an unreachable searcher.
+	probeInterval time.Duration
+}
+
+func (s *searcher) unreachable() bool { return !s.unreachableSince.IsZero() }
+
+// sameStart reports whether a target is the same start of the searcher at the same
+// address.
+func (s *searcher) sameStart(t Target) bool {
+	return s.Searcher.Address == t.Searcher.Address && s.Incarnation == t.Incarnation
+}
+
+// service is a service with its searchers, the nearest first.
+type service struct {
+	searchers []*searcher
+	// unreachable is the number of searchers that are out of reach.
+	unreachable int
+	lostSince   time.Time
+	// suspectedAt is when a send to one of the searchers last failed, zero once its
+	// searchers have been probed. probedAt is when that was.
+	suspectedAt time.Time
+	probedAt    time.Time
+}
+
+// lost reports whether no searcher of the service is reached.
+func (s *service) lost() bool {
+	return len(s.searchers) > 0 && s.unreachable == len(s.searchers)
+}
--- /dev/null
+++ b/core/hysreach/tracker.go
@@ -0,0 +1,420 @@
+// Package hysreach tracks which searchers this instance can reach, and decides
+// whether the instance itself is cut off from them.
+//
+// It is made for partitions that hit one instance and not the others: its
+// connections to searchers hang, are reset, or live on while new ones are refused,
+// and callers and other instances still reach it. Each send alone fails only after
+// its own timeout, which tells nothing about the next one. The tracker combines what
+// is heard from all searchers: failures of sends and silence while sends are running
+// raise a suspicion, which a few short probes confirm or clear. If a sample of the
+// searchers fails and nothing is heard from any of them meanwhile, all count as out
+// of reach until probes reach them again.
+//
+// A searcher is out of reach only by a probe that failed after the last sign of life,
+// so a searcher that is slow, sheds load or fails requests is not: it answers. An
+// instance without sends has no evidence, and believes that it reaches everything.
+//
+// The package sends nothing. Its user reports what happens and runs the probes, each
+// of them one new connection.
+//
+// # Usage
+//
+//	t := hysreach.NewTracker(time.Now)
+//	t.SetSearchers(targets)
+//	t.SendStarted()
+//	changes := t.Heard("s-1")
+//	for _, target := range t.NextProbes() { ... changes := t.ProbeFailed(target, began, evidence) }
+//	if t.Lost("captains-desk") { ... }
+package hysreach
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysservice"
+)
+
+// refusalGrace is how long after a sign of life a refused connection does not count:
+// the searcher still answers on other connections.
+const refusalGrace = time.Second
+
+// Hold times. After a relapse the searchers must stay reachable for a while before
+// they count so, twice as long after each further one.
+const (
+	relapseWindow = 10 * time.Second
+	minHoldTime   = 500 * time.Millisecond
+	maxHoldTime   = 4 * time.Second
+)
+
+// Tracker tracks which searchers are in reach. It is safe for concurrent use.
+type Tracker struct {
+	now func() time.Time
+
+	mu        sync.Mutex
+	searchers map[hysmember.SearcherID]*searcher
+	services  map[hysservice.Name]*service
+	// unreachable holds the searchers that are out of reach.
+	unreachable map[*searcher]bool
+	// lastHeard is when anything was last heard from any searcher.
+	lastHeard time.Time
+	// running is the number of sends in flight, busySince since when there are any.
+	running   int
+	busySince time.Time
+	// failure is the last evidence since which nothing was heard, from any searcher.
+	failure Evidence
+	round   *round
+	// nextRoundAt is the earliest time of the next round, roundInterval the time
+	// between two rounds that confirm nothing.
+	nextRoundAt   time.Time
+	roundInterval time.Duration
+	// partitionedSince is zero unless no searcher was reached in a round. rejoinedAt
+	// is when that last ended.
+	partitionedSince time.Time
+	rejoinedAt       time.Time
+	// holdTime is how long searchers must stay reachable in the current partition, 0
+	// if they need not. lastHoldTime is what it was at the last relapse, and
+	// reachableFrom since when some searchers have been reachable.
+	holdTime      time.Duration
+	lastHoldTime  time.Duration
+	reachableFrom time.Time
+	schedule      schedule
+}
+
+// NewTracker returns a tracker without searchers.
+func NewTracker(now func() time.Time) *Tracker {
+	return &Tracker{
+		now: now, searchers: make(map[hysmember.SearcherID]*searcher), services: make(map[hysservice.Name]*service),
+		unreachable: make(map[*searcher]bool), lastHeard: now(),
+	}
+}
+
+// SetSearchers replaces the searchers; those that are leaving are not tracked. A
+// searcher that is new or has started anew counts as reachable.
+func (t *Tracker) SetSearchers(targets Targets) Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lostBefore := t.lostServices()
+	known := t.searchers
+	t.searchers, t.services = make(map[hysmember.SearcherID]*searcher, len(targets)), make(map[hysservice.Name]*service)
+	clear(t.unreachable)
+	for _, target := range targets {
+		if target.Searcher.Leaving {
+			continue
+		}
+		s, ok := known[target.Searcher.ID]
+		if !ok || !s.sameStart(target) {
+			s = &searcher{}
+		}
+		s.Target = target
+		t.add(s)
+	}
+	for _, s := range t.services {
+		slices.SortFunc(s.searchers, func(a, b *searcher) int {
+			return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.Searcher.ID, b.Searcher.ID))
+		})
+	}
+	t.schedule.reset()
+	return t.servicesChanged(lostBefore)
+}
+
+func (t *Tracker) add(s *searcher) {
+	t.searchers[s.Searcher.ID] = s
+	of, ok := t.services[s.Searcher.Service]
+	if !ok {
+		of = &service{}
+		t.services[s.Searcher.Service] = of
+	}
+	of.searchers = append(of.searchers, s)
+	s.service = of
+	if s.unreachable() {
+		of.unreachable++
+		t.unreachable[s] = true
+	}
+}
+
+// lostServices returns since when each lost service is lost.
+func (t *Tracker) lostServices() map[hysservice.Name]time.Time {
+	lost := make(map[hysservice.Name]time.Time)
+	if len(t.unreachable) == 0 {
+		return lost
+	}
+	for name, s := range t.services {
+		if s.lost() {
+			lost[name] = s.lostSince
+		}
+	}
+	return lost
+}
+
+// servicesChanged returns the services that were lost or regained because the list of
+// the searchers changed.
+func (t *Tracker) servicesChanged(before map[hysservice.Name]time.Time) Changes {
+	now := t.now()
+	var changes Changes
+	for name, s := range t.services {
+		since, wasLost := before[name]
+		switch {
+		case s.lost() && wasLost:
+			s.lostSince = since
+		case s.lost():
+			s.lostSince = now
+			changes = append(changes, t.change(Change{Kind: ChangeServiceLost, Service: name}))
+		case wasLost:
+			changes = append(changes, t.change(Change{Kind: ChangeServiceRegained, Service: name, Lasted: now.Sub(since)}))
+		}
+	}
+	return append(changes, t.endPartition(now)...)
+}
+
+// change completes a change with the state of the tracker.
+func (t *Tracker) change(c Change) Change {
+	c.SilentFor = t.now().Sub(t.lastHeard)
+	c.Unreachable, c.Searchers = len(t.unreachable), len(t.searchers)
+	c.Partitioned = !t.partitionedSince.IsZero()
+	return c
+}
+
+// SendStarted records that a send is in flight, and reports whether there was none
+// before.
+func (t *Tracker) SendStarted() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running++
+	if t.running > 1 {
+		return false
+	}
+	t.busySince = t.now()
+	return true
+}
+
+// SendEnded records the end of a send.
+func (t *Tracker) SendEnded() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+}
+
+// Heard records a sign of life of a searcher: a response, or a connection that was
+// established for a send.
+func (t *Tracker) Heard(id hysmember.SearcherID) Changes { return t.heard(id, false) }
+
+// Reached records that a probe has reached a searcher.
+func (t *Tracker) Reached(id hysmember.SearcherID) Changes { return t.heard(id, true) }
+
+func (t *Tracker) heard(id hysmember.SearcherID, byProbe bool) Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.lastHeard, t.failure = now, EvidenceNone
+	s, ok := t.searchers[id]
+	if !ok {
+		return nil
+	}
+	s.heardAt = now
+	if byProbe {
+		s.probing = false
+		t.endRoundProbe(id)
+		t.schedule.succeeded(now)
+	}
+	if !s.unreachable() || byProbe && t.hold(now) {
+		return nil
+	}
+	return t.regain(s, now)
+}
+
+// hold reports whether searchers that probes reach don't count as reachable yet, since
+// the last partition was over only for a short time.
+func (t *Tracker) hold(now time.Time) bool {
+	if t.partitionedSince.IsZero() || t.holdTime == 0 {
+		return false
+	}
+	if t.reachableFrom.IsZero() {
+		t.reachableFrom = now
+	}
+	return t.holding(now)
+}
+
+// holding reports whether the hold time is running.
+func (t *Tracker) holding(now time.Time) bool {
+	return !t.reachableFrom.IsZero() && now.Sub(t.reachableFrom) < t.holdTime
+}
+
+// endHold marks the searchers that were reached during the hold time as reachable once
+// it is over.
+func (t *Tracker) endHold(now time.Time) Changes {
+	if t.reachableFrom.IsZero() || t.holding(now) {
+		return nil
+	}
+	from := t.reachableFrom
+	t.reachableFrom, t.holdTime = time.Time{}, 0
+	var changes Changes
+	for s := range t.unreachable {
+		if !s.heardAt.Before(from) {
+			changes = append(changes, t.regain(s, now)...)
+		}
+	}
+	return changes
+}
+
+// regain marks a searcher as reachable.
+func (t *Tracker) regain(s *searcher, now time.Time) Changes {
+	wasLost, lostSince := s.service.lost(), s.service.lostSince
+	since := s.unreachableSince
+	s.unreachableSince, s.evidence, s.probeInterval = time.Time{}, EvidenceNone, 0
+	s.service.unreachable--
+	delete(t.unreachable, s)
+	changes := Changes{t.change(Change{
+		Kind: ChangeSearcherRegained, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since),
+	})}
+	if wasLost {
+		changes = append(changes, t.change(Change{
+			Kind: ChangeServiceRegained, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(lostSince),
+		}))
+	}
+	return append(changes, t.endPartition(now)...)
+}
+
+// endPartition ends a partition once most searchers are in reach.
+func (t *Tracker) endPartition(now time.Time) Changes {
+	if t.partitionedSince.IsZero() || 2*len(t.unreachable) > len(t.searchers) {
+		return nil
+	}
+	lasted := now.Sub(t.partitionedSince)
+	t.partitionedSince, t.rejoinedAt = time.Time{}, now
+	return Changes{t.change(Change{Kind: ChangeRejoined, Lasted: lasted})}
+}
+
+// Failed records a send that failed before a response was received. began is when it
+// started.
+func (t *Tracker) Failed(id hysmember.SearcherID, began time.Time, e Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.searchers[id]
+	if !ok || s.heardAt.After(began) {
+		return
+	}
+	if t.lastHeard.Before(began) {
+		t.failure = e
+	}
+	s.service.suspectedAt = t.now()
+	t.schedule.suspect(s.service)
+	if s.unreachable() {
+		s.evidence = e
+	}
+}
+
+// ProbeFailed records that a probe, which began at a time, has not reached a searcher.
+func (t *Tracker) ProbeFailed(id hysmember.SearcherID, began time.Time, e Evidence) Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	s, ok := t.searchers[id]
+	if !ok {
+		return t.endRound(id, now)
+	}
+	s.probing = false
+	var changes Changes
+	if t.provesUnreachable(s, began, now, e) {
+		changes = t.lose(s, now, e)
+	}
+	if !t.reachableFrom.IsZero() && !s.heardAt.Before(t.reachableFrom) {
+		// It was reached during the hold time, and is not any more.
+		t.reachableFrom = time.Time{}
+	}
+	return append(changes, t.endRound(id, now)...)
+}
+
+// provesUnreachable reports whether a failed probe shows that a searcher is out of
+// reach. A probe that took much longer than its timeout says more about this process,
+// which may have been suspended.
+func (t *Tracker) provesUnreachable(s *searcher, began, now time.Time, e Evidence) bool {
+	switch {
+	case s.heardAt.After(began), now.Sub(began) > 2*ProbeTimeout:
+		return false
+	case e == EvidenceRefused:
+		return now.Sub(s.heardAt) > refusalGrace
+	default:
+		return true
+	}
+}
+
+// lose marks a searcher as out of reach.
+func (t *Tracker) lose(s *searcher, now time.Time, e Evidence) Changes {
+	s.evidence = e
+	if s.unreachable() {
+		return nil
+	}
+	s.unreachableSince = now
+	s.service.unreachable++
+	t.unreachable[s] = true
+	if !s.service.lost() {
+		return nil
+	}
+	s.service.lostSince = now
+	return Changes{t.change(Change{Kind: ChangeServiceLost, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Evidence: e})}
+}
+
+// Lost reports whether no searcher of a service is in reach, though there are some.
+func (t *Tracker) Lost(name hysservice.Name) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unreachable) == 0 {
+		return false
+	}
+	s, ok := t.services[name]
+	return ok && s.lost()
+}
+
+// LostCount returns how many of some services are lost.
+func (t *Tracker) LostCount(names []hysservice.Name) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unreachable) == 0 {
+		return 0
+	}
+	count := 0
+	for _, name := range names {
+		if s, ok := t.services[name]; ok && s.lost() {
+			count++
+		}
+	}
+	return count
+}
+
+// Reachable reports whether a searcher is not known to be out of reach.
+func (t *Tracker) Reachable(id hysmember.SearcherID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.unreachable) == 0 {
+		return true
+	}
+	s, ok := t.searchers[id]
+	return !ok || !s.unreachable()
+}
+
+// Suspicious reports whether it is being found out whether any searcher is in reach.
+func (t *Tracker) Suspicious() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.round != nil
+}
+
+// HeardWithin reports whether anything was heard from any searcher lately.
+func (t *Tracker) HeardWithin(span time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now().Sub(t.lastHeard) <= span
+}
+
+// Status returns the state of the tracker.
+func (t *Tracker) Status() Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Status{
+		Searchers: len(t.searchers), Unreachable: len(t.unreachable), LostServices: len(t.lostServices()),
+		Partitioned: !t.partitionedSince.IsZero(), SilentFor: t.now().Sub(t.lastHeard),
+	}
+}
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysreach"
 	"hyssopshore/io/hysconn"
 )
 
@@ -80,6 +81,7 @@
 	headers   Headers
 	cap       CapFunc
 	onRefused RefusedFunc
+	observer  Observer
 	// memory bounds the bytes of the responses being read.
 	memory *hysconn.MemoryBudget
 
@@ -134,6 +136,9 @@
 		headers: headers, pools: make(map[poolKey]*pool),
 		cap:       func(hysmember.Searcher) int { return defaultConnectionCap },
 		onRefused: func(hysmember.Searcher) {}, memory: hysconn.NewMemoryBudget(defaultResponseMemory),
+		observer: Observer{
+			Heard: func(hysmember.SearcherID) {}, Failed: func(hysmember.SearcherID, time.Time, hysreach.Evidence) {},
+		},
 	}
 	for _, o := range options {
 		o(c)
@@ -159,10 +164,16 @@
 	if !c.reserveSlot(s) {
 		return nil, fmt.Errorf("connect to %s: %w", s.ID, ErrConnectionCap)
 	}
+	began := time.Now()
 	conn, err := c.dial(ctx, s.Address)
 	if errors.Is(err, unix.ECONNREFUSED) {
 		c.onRefused(s)
 	}
+	if err == nil {
+		c.observer.Heard(s.ID)
+	} else {
+		c.observeFailure(ctx, s, began, err)
+	}
 	if err == nil && c.resetRecently(keyOf(s)) {
 		err = conn.awaitImmediateClose(ctx)
 	}
--- a/io/hysforward/prewarm.go
+++ b/io/hysforward/prewarm.go
@@ -63,9 +63,16 @@
 		p.backOffPrewarm(time.Now())
 		return fmt.Errorf("prewarm: %w", err)
 	}
+	p.addIdle(conn)
+	return nil
+}
+
+// addIdle adds a new connection that nothing was sent on.
+func (p *pool) addIdle(conn *connection) {
 	conn.reused, conn.prewarmed = true, true
+	conn.idleTimeout = p.effectiveIdleTimeout()
+	conn.expires = time.Now().Add(conn.idleTimeout)
 	p.idle = append(p.idle, conn)
-	return nil
 }
 
 // needsPrewarm reports whether a searcher has no connection and its backoff has
--- a/io/hysforward/send.go
+++ b/io/hysforward/send.go
@@ -55,7 +55,7 @@
 		c.release(keyOf(s), conn, true)
 		return hysdispatch.Result{Fault: hysdispatch.FaultCancelled, Reason: "the deadline has passed", NotRun: true}, nil
 	}
-	id := string(sub.RequestID)
+	id, began := string(sub.RequestID), time.Now()
 	r, err := conn.exchange(ctx, outgoing{
 		request: sub.Message, idField: c.headers.RequestID, id: id, leavingField: c.headers.Leaving,
 		fields: http.Header{
@@ -66,10 +66,12 @@
 	})
 	c.release(keyOf(s), conn, err == nil && r.reusable)
 	if err != nil {
+		c.observeFailure(ctx, s, began, err)
 		result := exchangeFailed(ctx, err)
 		result.Draining = r.leaving
 		return result, fmt.Errorf("exchange with %s: %w", s.ID, err)
 	}
+	c.observer.Heard(s.ID)
 	result := c.result(r.response)
 	// A response from another searcher at the address does not apply to the
 	// intended one.
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -31,6 +31,7 @@
 	"hyssopshore/core/hyslimit"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquarantine"
+	"hyssopshore/core/hysreach"
 	"hyssopshore/core/hysroute"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysforward"
@@ -69,6 +70,10 @@
 	directory    *hysmember.Directory
 	forward      *hysforward.Client
 	dispatcher   *hysdispatch.Dispatcher
+	// reach tracks which searchers this daemon can reach. checkReach receives a value
+	// when there is something to find out.
+	reach        *hysreach.Tracker
+	checkReach   chan struct{}
 	ingress      *hysingress.Ingress
 	callerServer *callerServer
 	suspects     *hysquarantine.Tracker
@@ -185,6 +190,8 @@
 		delegates: hysgather.NewDelegates(time.Now),
 		suspects:  hysquarantine.NewTracker(time.Now),
 
+		reach: hysreach.NewTracker(time.Now), checkReach: make(chan struct{}, 1),
+
 		evidenceQueue: make(chan hysquarantine.Record, evidenceQueueLength),
 
 		droppedLines: func() int64 { return 0 },
@@ -195,7 +202,8 @@
 		Searcher: headers.Searcher, NotRun: headers.NotRun, Leaving: headers.Leaving,
 		Limit: headers.Limit,
 	}, hysforward.WithConnectionCap(f.connectionCap), hysforward.WithResponseMemory(s.responseMemory()),
-		hysforward.WithRefusedFunc(func(s hysmember.Searcher) { f.attributeCrash(s.ID) }))
+		hysforward.WithRefusedFunc(func(s hysmember.Searcher) { f.attributeCrash(s.ID) }),
+		hysforward.WithObserver(hysforward.Observer{Heard: f.searcherHeard, Failed: f.searcherFailed}))
 	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percentile: hedgePercentile, DefaultDelay: defaultHedgeDelay, RetryReserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime),
@@ -269,6 +277,7 @@
 	wait.Go(func() { f.announce(ctx) })
 	wait.Go(func() { f.syncFromPeers(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
+	wait.Go(func() { f.probeSearchers(ctx) })
 	wait.Go(func() { f.permits.Run(ctx) })
 	wait.Go(func() { f.updateGauges(ctx) })
 	wait.Go(func() { f.keepPrewarmed(ctx) })
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -34,6 +34,7 @@
 			MembersListed: len(entries), MembersUsable: usable,
 			Instances: f.instanceCount.Load(), DroppedLines: f.droppedLines(),
 		})
+		f.metrics.SetReach(f.reach.Status())
 		f.metrics.SetLimits(hyspermit.Metrics(f.dispatcher.LimitedSearchers()))
 		for _, service := range f.services() {
 			load := f.dispatcher.Load(service)
@@ -63,7 +64,13 @@
 	if r.Outcome != hysingress.OutcomeServed && r.Outcome != hysingress.OutcomePartial {
 		level = slog.LevelWarn
 	}
-	f.log.Log(context.Background(), level, "request "+r.Outcome.String(),
+	log := f.log
+	if r.Queue.Replicas > 0 {
+		q := r.Queue
+		log = log.With("waiting", q.Waiting, "running", q.Running, "serving", q.Serving, "replicas", q.Replicas,
+			"expected-wait-ms", q.ExpectedWait.Milliseconds(), "mean-ms", q.MeanTime.Milliseconds())
+	}
+	log.Log(context.Background(), level, "request "+r.Outcome.String(),
 		"id", r.ID, "route", r.Route, "service", r.Service, "configuration", r.Configuration,
 		"status", r.Status, "reason", r.Reason, "ms", r.Latency.Milliseconds(), "goal-ms", r.Goal.Milliseconds(), "allowed-ms", r.Allowed.Milliseconds(), "returning", r.Returning,
 		"shards", r.Shards, "answered", r.Answered, "missing", r.Missing, "sends", r.Sends, "searcher", r.Searcher, "gathered-by", r.GatheredBy, "for-another", r.Delegated,
@@ -80,7 +87,9 @@
 		}
 	}
 	started, startTime := time.Now(), f.directory.StartTime(s.ID)
+	f.sendStarted()
 	result := f.forward.Send(ctx, s, sub)
+	f.reach.SendEnded()
 	f.recordResult(s, sub, result)
 	if result.Draining {
 		f.recordDeparture(hysmember.Departure{ID: s.ID, StartTime: startTime}, sub.RequestID)
--- a/io/hysfront/replicas.go
+++ b/io/hysfront/replicas.go
@@ -36,6 +36,7 @@
 			byService[service] = nil
 		}
 	}
+	f.setTargets(byService)
 	for service, replicas := range byService {
 		f.knownServices[service] = true
 		f.dispatcher.SetReplicas(service, replicas, 1)
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -102,6 +102,8 @@
 	// Searcher is the one whose response was forwarded.
 	Searcher   string
 	RetryAfter time.Duration
+	// Queue is what a refusal by this instance was derived from.
+	Queue hysdispatch.QueueState
 	// GatheredBy is the instance to which the query was delegated, if it was.
 	GatheredBy string
 	// Delegated is set in the gatherer's record of a delegated query.
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -32,6 +32,7 @@
 	}
 	e.record.Shards = len(shards)
 	if refusal, ok := e.ingress.Admit(s.SubRequests, s.Policy.Minimum); !ok {
+		e.record.Queue = refusal.Queue
 		e.refuse(refusal.Reason, refusal.RetryAfter)
 		return
 	}
--- a/io/hysingress/single.go
+++ b/io/hysingress/single.go
@@ -13,7 +13,7 @@
 	service := e.route.Pick()
 	e.record.Service = service
 	reply := e.ingress.Submit(ctx, e.subRequest(service))
-	e.record.Sends, e.record.Searcher, e.record.Reason = reply.Sends, string(reply.Searcher), reply.Reason
+	e.record.Sends, e.record.Searcher, e.record.Reason, e.record.Queue = reply.Sends, string(reply.Searcher), reply.Reason, reply.Queue
 	switch {
 	case reply.Message != nil:
 		e.forwardResponse(reply)
