--- /dev/null
+++ b/internal/hystest/cut.go
@@ -0,0 +1,146 @@
+package hystest
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Cut is how a Proxy cuts its target off.
+type Cut uint8
+
+// The ways of a cut.
+const (
+	// CutHang drops every byte of the open connections, and new ones are not
+	// established.
+	CutHang Cut = iota
+	// CutRequests does the same, but the target's replies on open connections still
+	// come.
+	CutRequests
+	// CutReplies does the same, but requests on open connections still reach the
+	// target.
+	CutReplies
+	// CutReset resets the open connections and refuses new ones.
+	CutReset
+	// CutRefuse leaves the open connections alone and refuses new ones.
+	CutRefuse
+)
+
+// fillTimeout is how long a connection may take that fills the queue of a listener
+// which accepts none any more.
+const fillTimeout = 30 * time.Millisecond
+
+// maxFillers bounds the connections that fill the queue of a listener.
+const maxFillers = 8
+
+// Cut cuts the target off until Heal.
+func (p *Proxy) Cut(c Cut) {
+	switch c {
+	case CutHang:
+		p.hangNew()
+		p.Freeze(DirectionRequest, DirectionReply)
+	case CutRequests:
+		p.hangNew()
+		p.Freeze(DirectionRequest)
+	case CutReplies:
+		p.hangNew()
+		p.Freeze(DirectionReply)
+	case CutReset:
+		p.refuseNew()
+		p.resetConnections()
+	case CutRefuse:
+		p.refuseNew()
+	}
+}
+
+// Heal ends a cut. Connections that were frozen are closed.
+func (p *Proxy) Heal() {
+	p.mu.Lock()
+	for l := range p.links {
+		if l.frozen[DirectionRequest] || l.frozen[DirectionReply] {
+			l.close()
+		}
+	}
+	hanging, fillers := p.hanging, p.fillers
+	p.hanging, p.fillers = nil, nil
+	p.mu.Unlock()
+	for _, f := range fillers {
+		_ = f.Close()
+	}
+	if hanging != nil {
+		p.setBacklog(unix.SOMAXCONN)
+		close(hanging)
+		return
+	}
+	l, err := net.Listen("tcp", string(p.Address()))
+	if err != nil {
+		panic(err)
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.accept(l)
+}
+
+// hangNew lets new connections hang: nobody accepts them, and the queue is full, so
+// that their first packets are dropped.
+func (p *Proxy) hangNew() {
+	p.mu.Lock()
+	p.hanging = make(chan struct{})
+	p.mu.Unlock()
+	p.setBacklog(0)
+	for range maxFillers {
+		conn, err := net.DialTimeout("tcp", string(p.Address()), fillTimeout)
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.fillers = append(p.fillers, conn)
+		p.mu.Unlock()
+	}
+}
+
+// setBacklog sets how many connections may wait to be accepted.
+func (p *Proxy) setBacklog(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), count) })
+	if err != nil || listenErr != nil {
+		panic(listenErr)
+	}
+}
+
+// awaitHealed waits while new connections hang, and reports whether they did.
+func (p *Proxy) awaitHealed() bool {
+	p.mu.Lock()
+	hanging := p.hanging
+	p.mu.Unlock()
+	if hanging == nil {
+		return false
+	}
+	<-hanging
+	return true
+}
+
+// refuseNew closes the listener.
+func (p *Proxy) refuseNew() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// resetConnections resets the open connections.
+func (p *Proxy) resetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		_ = l.client.(*net.TCPConn).SetLinger(0)
+		l.close()
+	}
+}
--- a/internal/hystest/proxy.go
+++ b/internal/hystest/proxy.go
@@ -22,13 +22,19 @@
 // Proxy forwards TCP connections to a target and can inject network faults. It
 // is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   hysmember.Address
+	target  hysmember.Address
+	address hysmember.Address
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// listener is replaced when a cut ends that refused connections.
+	listener net.Listener
 	links    map[*link]bool
 	delay    time.Duration
 	accepted int
+	// hanging is set while new connections hang, and closed when they no longer do.
+	// fillers are the connections that fill the queue of the listener.
+	hanging chan struct{}
+	fillers []net.Conn
 }
 
 // link is one connection through the proxy.
@@ -45,15 +51,16 @@
 	if err != nil {
 		panic(err)
 	}
-	p := &Proxy{listener: l, target: target, links: make(map[*link]bool)}
-	go p.accept()
+	p := &Proxy{
+		listener: l, target: target, links: make(map[*link]bool),
+		address: hysmember.Address(l.Addr().String()),
+	}
+	go p.accept(l)
 	return p
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() hysmember.Address {
-	return hysmember.Address(p.listener.Addr().String())
-}
+func (p *Proxy) Address() hysmember.Address { return p.address }
 
 // Accepted returns how many connections were forwarded so far.
 func (p *Proxy) Accepted() int {
@@ -92,7 +99,17 @@
 
 // Close closes the open connections and stops accepting new ones.
 func (p *Proxy) Close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	hanging, fillers := p.hanging, p.fillers
+	p.hanging, p.fillers = nil, nil
+	p.mu.Unlock()
+	for _, f := range fillers {
+		_ = f.Close()
+	}
+	if hanging != nil {
+		close(hanging)
+	}
 	p.CloseConnections()
 }
 
@@ -101,12 +118,17 @@
 	_ = l.server.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		if p.awaitHealed() {
+			// It was opened during a cut.
+			_ = client.Close()
+			continue
+		}
 		server, err := net.Dial("tcp", string(p.target))
 		if err != nil {
 			_ = client.Close()
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -58,6 +58,10 @@
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
 	shards []hysservice.Name
+	// goal is the goal of all routes.
+	goal time.Duration
+	// books adds a route for bookings, which may run once.
+	books bool
 }
 
 func (s *store) withLock(work func()) {
@@ -69,12 +73,18 @@
 func (s *store) configuration() hysfront.StoredConfiguration {
 	routes := hysroute.Routes{{
 		Name: hysroute.Name(fmt.Sprint("v", s.version)), Host: "rota.example", Prefix: "/", Idempotent: true,
-		Timeout: 2 * time.Second, Branches: hysroute.Branches{{Service: "roll", Weight: 1}},
+		Timeout: 2 * time.Second, Goal: s.goal, Branches: hysroute.Branches{{Service: "roll", Weight: 1}},
 	}}
 	if len(s.shards) > 0 {
 		routes = append(routes, &hysroute.Route{
 			Name: "query", Host: "rota.example", Prefix: "/query/", Idempotent: true,
-			Timeout: time.Second, Shards: s.shards, TopK: 1, MinCoverage: 1, MaxAttempts: 2,
+			Timeout: time.Second, Goal: s.goal, Shards: s.shards, TopK: 1, MinCoverage: 1, MaxAttempts: 2,
+		})
+	}
+	if s.books {
+		routes = append(routes, &hysroute.Route{
+			Name: "book", Host: "rota.example", Prefix: "/book/", Timeout: 2 * time.Second, Goal: s.goal, MaxAttempts: 2,
+			Branches: hysroute.Branches{{Service: "roll", Weight: 1}},
 		})
 	}
 	c, skipped := hysroute.NewConfiguration(s.version, routes, nil, s.limits)
@@ -119,7 +129,7 @@
 		Decode: func(raw []byte) (hysfront.StoredConfiguration, error) {
 			var version hysroute.Version
 			_, err := fmt.Sscan(string(raw), &version)
-			scripted := &store{version: version, shards: s.shards}
+			scripted := &store{version: version, shards: s.shards, goal: s.goal, books: s.books}
 			c := scripted.configuration()
 			c.Raw = raw
 			return c, err
