Send to a shard again after all its searchers failed or took long

The estimated wait is derived from the average send and the replicas that serve; a replica in backoff counts as none until it answers, and the average only changes with a send. Where that estimate alone exceeds the goal or the deadline everything is refused, nothing is sent, and the estimate stays as it is. It needs no partition: an outage of one shard is enough.

TestShardIsTriedAgainAfterOutage replays nine outages in virtual time; all failed before, most with no answer at all after the outage.

Now a sub-request at a shard where nothing waits or runs, though a replica may be sent to, is admitted whatever the estimate says: only a send can correct it.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -99,6 +99,9 @@
 		return SubReply{}, false
 	}
 	now := t.now()
+	if s.untested(now) {
+		return SubReply{}, false
+	}
 	if backoff := s.backoff(now); backoff > c.sub.usefulTime(now) {
 		return c.refuse(s, now, 0, "no searcher of the shard may be sent to for now", backoff), true
 	}
@@ -194,6 +197,21 @@
 	return float64(xxhash.Sum64String(string(s.RequestID))) / math.MaxUint64
 }
 
+// untested reports whether nothing waits or runs at the shard though a replica may be
+// sent to now. What is known then, from sends that failed or took long, may no longer
+// be true, and only another send can show it. Where a searcher that serves has a rate
+// limit, that is known without a send.
+func (s *shard) untested(now time.Time) bool {
+	ready := false
+	for _, r := range s.replicas {
+		if len(r.active) > 0 || r.serving(now) && r.limitMeter(now).Limit().Limited {
+			return false
+		}
+		ready = ready || r.free(now) && r.limitMeter(now).Ready(now)
+	}
+	return ready && s.queue.Len() == 0
+}
+
 // expectedWait estimates how long an item would wait for a slot.
 func (s *shard) expectedWait(now time.Time, i hysqueue.Item) time.Duration {
 	slots, running, available := 0.0, 0, false
--- a/core/hysdispatch/admit.go
+++ b/core/hysdispatch/admit.go
@@ -103,6 +103,9 @@
 		return forecast{}, false
 	}
 	now := t.now()
+	if s.untested(now) {
+		return forecast{meanTime: s.meanTime, queue: s.queueState(now, 0)}, true
+	}
 	wait := s.smoothedWaits.update(sub.waitKey(), now, s.expectedWait(now, c.item(s, nil)))
 	return forecast{wait: wait, backoff: s.backoff(now), meanTime: s.meanTime, queue: s.queueState(now, wait)}, true
 }
