--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysqueue"
@@ -48,6 +50,9 @@
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
 	reply := c.await(ctx, sendCtx, hedge)
+	if reply.Status != hysquery.ShardAnswered && errors.Is(context.Cause(ctx), ErrUnreachable) {
+		reply = c.unreachableReply(cancel)
+	}
 	c.dequeue()
 	c.endSends(ctx, cancel)
 	reply.Sends = c.startedSends()
@@ -136,14 +141,19 @@
 	})
 }
 
-// resolve returns the final reply, and true, if the outcome of a send decides it.
-// Otherwise it retries if that is allowed.
-func (c *call) resolve(ctx, sendCtx context.Context, o outcome) (SubReply, bool) {
+// record applies the outcome of a send to what is known of the sub-request.
+func (c *call) record(o outcome) {
 	c.mayHaveRun = c.mayHaveRun || !o.result.NotRun
 	if o.result.NotRun {
 		c.notRun++
 	}
 	c.lastResult, c.searcher = o.result, o.searcher
+}
+
+// resolve returns the final reply, and true, if the outcome of a send decides it.
+// Otherwise it retries if that is allowed.
+func (c *call) resolve(ctx, sendCtx context.Context, o outcome) (SubReply, bool) {
+	c.record(o)
 	switch o.result.Fault {
 	case FaultNone:
 		return SubReply{
@@ -247,10 +257,15 @@
 		waiting = waiting || send.replica == nil
 		c.mayHaveRun = c.mayHaveRun || (send.replica != nil && c.running > 0)
 	}
-	if !waiting {
-		return
+	if waiting {
+		c.removeWaiting()
 	}
-	t.shard(c.key()).queue.Remove(func(i hysqueue.Item) bool {
+}
+
+// removeWaiting removes the sends that are still waiting from the queue. The caller
+// holds the table's lock.
+func (c *call) removeWaiting() {
+	c.table.shard(c.key()).queue.Remove(func(i hysqueue.Item) bool {
 		return slices.Contains(c.sends, i.Value.(*send))
 	})
 }
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -45,6 +45,8 @@
 	// connected reports whether there is a connection to a searcher, so that a send
 	// need not wait for a handshake.
 	connected ConnectedFunc
+	// reachable reports whether a searcher is not known to be out of reach.
+	reachable ReachableFunc
 	tables    map[hysservice.Name]*table
 	backlog   *backlog
 	workers   *workers
@@ -146,6 +148,7 @@
 		budget: func(hysservice.Name) *hysbudget.Budget { return hysbudget.New(budgetShare, budgetSlack) },
 		tables: make(map[hysservice.Name]*table), groupLatencies: newGroupLatencies(), backlog: newBacklog(), workers: newWorkers(),
 		connected: func(hysmember.Searcher) bool { return true },
+		reachable: func(hysmember.SearcherID) bool { return true },
 		onLimit:   func(LimitEvent) {}, needPermits: func() {}, instanceCount: func() int { return 1 },
 	}
 	for _, o := range options {
--- a/core/hysdispatch/outage_test.go
+++ b/core/hysdispatch/outage_test.go
@@ -28,11 +28,11 @@
 	// WorkMS is how long a searcher takes before and after the outage.
 	WorkMS int64 `json:"work-ms"`
 	// Query asks for each request first whether it is admitted as a query.
-	Query bool `json:"query"`
-	OutageMS       int64  `json:"outage-ms"`
-	DeadlineMS     int64  `json:"deadline-ms"`
-	GoalMS         int64  `json:"goal-ms"`
-	Idempotent     bool   `json:"idempotent"`
+	Query      bool  `json:"query"`
+	OutageMS   int64 `json:"outage-ms"`
+	DeadlineMS int64 `json:"deadline-ms"`
+	GoalMS     int64 `json:"goal-ms"`
+	Idempotent bool  `json:"idempotent"`
 	// WithinMS is how soon after the outage all requests must be answered again.
 	WithinMS int64 `json:"within-ms"`
 }
--- a/core/hysdispatch/replica.go
+++ b/core/hysdispatch/replica.go
@@ -92,11 +92,13 @@
 	urgentAnsweredAt time.Time
 	// connected reports whether a send need not wait for a connection.
 	connected ConnectedFunc
+	// reachable reports whether the searcher is not known to be out of reach.
+	reachable ReachableFunc
 	// instanceCount is the number of instances that share the searcher's rate limit.
 	instanceCount func() int
 }
 
-func newReplica(r Replica, slots int, known *pushback, connected ConnectedFunc, instanceCount func() int) *replica {
+func newReplica(r Replica, slots int, known *pushback, connected ConnectedFunc, reachable ReachableFunc, instanceCount func() int) *replica {
 	m := stateless.NewStateMachine(stateServing)
 	m.Configure(stateServing).
 		Permit(triggerFailed, stateBackoff).
@@ -115,7 +117,7 @@
 		Permit(triggerRestarted, stateServing)
 	return &replica{
 		Replica: r, machine: m, slots: slots, concurrency: newConcurrency(slots),
-		connected: connected, pushback: known, instanceCount: instanceCount,
+		connected: connected, reachable: reachable, pushback: known, instanceCount: instanceCount,
 	}
 }
 
@@ -140,6 +142,9 @@
 // be sent to now. It returns false for a replica that is leaving.
 func (r *replica) availableAt(now time.Time) (time.Time, bool) {
 	at := later(r.pushback.backoffUntil, r.limitMeter(now).NextAt(now))
+	if !r.reachable(r.Searcher.ID) {
+		at = later(at, now.Add(unreachableRetryAfter))
+	}
 	switch r.state() {
 	case stateServing:
 		return at, true
@@ -158,7 +163,7 @@
 
 // serving reports whether the replica is serving and has not asked for a pause.
 func (r *replica) serving(now time.Time) bool {
-	return r.state() == stateServing && !now.Before(r.pushback.backoffUntil)
+	return r.state() == stateServing && !now.Before(r.pushback.backoffUntil) && r.reachable(r.Searcher.ID)
 }
 
 // available reports whether the replica is serving, has not asked for a pause, and may
@@ -177,7 +182,7 @@
 // free reports whether the replica may get a sub-request now, apart from its rate
 // limit.
 func (r *replica) free(now time.Time) bool {
-	if now.Before(r.pushback.backoffUntil) {
+	if now.Before(r.pushback.backoffUntil) || !r.reachable(r.Searcher.ID) {
 		return false
 	}
 	switch r.state() {
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -83,6 +83,14 @@
 	Searcher hysmember.SearcherID
 	// Sends is how many sends were made.
 	Sends int
+	// Unreachable is set if this instance reaches no searcher of the service. Another
+	// instance may.
+	Unreachable bool
+	// PossibleRuns is how many searchers may have run the sub-request, in a reply that
+	// is Unreachable.
+	PossibleRuns int
+	// RelayedTo is the instance that ran the sub-request, if it was another one.
+	RelayedTo hysmember.InstanceID
 	// Queue is what a refusal was derived from; empty if the sub-request was not
 	// refused.
 	Queue QueueState
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -36,6 +36,7 @@
 	budget         *hysbudget.Budget
 	groupLatencies *groupLatencies
 	connected      ConnectedFunc
+	reachable      ReachableFunc
 	backlog        *backlog
 	workers        *workers
 	onLimit        LimitFunc
@@ -93,7 +94,7 @@
 
 func newTable(d *Dispatcher, budget *hysbudget.Budget) *table {
 	return &table{
-		now: d.now, send: d.send, queueOptions: d.queueOptions, budget: budget, groupLatencies: d.groupLatencies, connected: d.connected, backlog: d.backlog, workers: d.workers, onLimit: d.onLimit, needPermits: d.needPermits, hasPermits: d.hasPermits, instanceCount: d.instanceCount,
+		now: d.now, send: d.send, queueOptions: d.queueOptions, budget: budget, groupLatencies: d.groupLatencies, connected: d.connected, reachable: d.reachable, backlog: d.backlog, workers: d.workers, onLimit: d.onLimit, needPermits: d.needPermits, hasPermits: d.hasPermits, instanceCount: d.instanceCount,
 		shards:   make(map[shardKey]*shard),
 		replicas: make(map[hysmember.SearcherID]*replica), pushbacks: make(pushbacks),
 	}
@@ -130,7 +131,7 @@
 		ok = false
 	}
 	if !ok {
-		known = newReplica(updated, slots, t.pushbacks.get(updated.Searcher.ID, updated.Incarnation), t.connected, t.instanceCount)
+		known = newReplica(updated, slots, t.pushbacks.get(updated.Searcher.ID, updated.Incarnation), t.connected, t.reachable, t.instanceCount)
 		t.replicas[updated.Searcher.ID] = known
 	}
 	if updated.Incarnation > known.Incarnation {
--- a/core/hysgather/delegates.go
+++ b/core/hysgather/delegates.go
@@ -69,11 +69,18 @@
 	if g.Includes(self) {
 		return nil
 	}
-	var picked hysmember.Instances
+	picked := d.Candidates(self, g)
+	return picked[:min(len(picked), maxDelegates)]
+}
+
+// Candidates returns all gatherers other than self that are not backing off, in the
+// order in which they are tried.
+func (d *Delegates) Candidates(self hysmember.InstanceID, g hysmember.Gatherers) hysmember.Instances {
+	var all hysmember.Instances
 	for _, tier := range []hysmember.Instances{g.First, g.Reserve} {
-		picked = append(picked, d.available(self, tier)...)
+		all = append(all, d.available(self, tier)...)
 	}
-	return picked[:min(len(picked), maxDelegates)]
+	return all
 }
 
 // available returns the instances of a tier that are not backing off, in random
--- a/core/hysgather/direct_fan_out.go
+++ b/core/hysgather/direct_fan_out.go
@@ -126,6 +126,17 @@
 	return true
 }
 
+// Unreachable reports whether a shard has no result because no searcher of it is in
+// reach.
+func (r *DirectFanOutResult) Unreachable() bool {
+	for i, reply := range r.Replies {
+		if r.Replied[i] && reply.Unreachable {
+			return true
+		}
+	}
+	return false
+}
+
 // RetryAfter returns the longest delay that a shard asks for before a retry.
 func (r *DirectFanOutResult) RetryAfter() time.Duration {
 	longest := time.Duration(0)
--- a/core/hysreach/enum_string.go
+++ b/core/hysreach/enum_string.go
@@ -11,15 +11,16 @@
 	_ = x[EvidenceNone-0]
 	_ = x[EvidenceTimeout-1]
 	_ = x[EvidenceRefused-2]
-	_ = x[EvidenceReset-3]
-	_ = x[EvidenceUnacknowledged-4]
-	_ = x[EvidenceStalled-5]
-	_ = x[EvidenceInferred-6]
+	_ = x[EvidenceRefusedInUse-3]
+	_ = x[EvidenceReset-4]
+	_ = x[EvidenceUnacknowledged-5]
+	_ = x[EvidenceStalled-6]
+	_ = x[EvidenceInferred-7]
 }
 
-const _Evidence_name = "nonetimeoutrefusedresetunacknowledgedstalledinferred"
+const _Evidence_name = "nonetimeoutrefusedrefused-in-useresetunacknowledgedstalledinferred"
 
-var _Evidence_index = [...]uint8{0, 4, 11, 18, 23, 37, 44, 52}
+var _Evidence_index = [...]uint8{0, 4, 11, 18, 32, 37, 51, 58, 66}
 
 func (i Evidence) String() string {
 	idx := int(i) - 0
--- a/core/hysreach/evidence.go
+++ b/core/hysreach/evidence.go
@@ -12,6 +12,9 @@
 	EvidenceTimeout // timeout
 	// EvidenceRefused is a connection that was refused.
 	EvidenceRefused // refused
+	// EvidenceRefusedInUse is a connection that was refused while others to the same
+	// searcher are open.
+	EvidenceRefusedInUse // refused-in-use
 	// EvidenceReset is a connection that was reset before the response.
 	EvidenceReset // reset
 	// EvidenceUnacknowledged is a connection on which sent bytes were not
--- a/core/hysreach/round.go
+++ b/core/hysreach/round.go
@@ -106,19 +106,22 @@
 // loseAll marks all searchers as out of reach.
 func (t *Tracker) loseAll(now time.Time, r *round) Changes {
 	t.beginHold(now)
+	before := t.lostServices()
 	if t.partitionedSince.IsZero() {
 		t.partitionedSince = now
 	}
-	changes := Changes{{}}
+	t.rejoiningSince = time.Time{}
 	for _, s := range t.searchers {
-		evidence := EvidenceInferred
-		if s.evidence != EvidenceNone {
-			evidence = s.evidence
+		if s.unreachable() {
+			continue
 		}
-		changes = append(changes, t.lose(s, now, evidence)...)
+		s.unreachableSince, s.evidence = now, EvidenceInferred
+		s.service.unreachable++
+		t.unreachable[s] = true
 	}
-	changes[0] = t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})
-	return changes
+	t.allReachable.Store(false)
+	changes := Changes{t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})}
+	return append(changes, t.compareServices(before, Change{Evidence: r.evidence})...)
 }
 
 // beginHold sets the hold time of a partition, by how long ago the last one ended.
--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -133,7 +133,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	changes := t.endHold(now)
+	changes := append(t.endHold(now), t.endPartition(now)...)
 	targets := t.startRound(now)
 	targets = append(targets, t.probeSuspects(now)...)
 	return append(targets, t.probeUnreachable(now)...), changes
@@ -179,16 +179,21 @@
 		}
 		s := t.schedule.order[t.schedule.cursor%len(t.schedule.order)]
 		t.schedule.cursor++
-		if s.dueForProbe(now) {
+		if s.dueForProbe(now, t.schedule.busy(now)) {
 			targets = append(targets, s.probeAgain(now))
 		}
 	}
 	return targets
 }
 
-// dueForProbe reports whether an unreachable searcher is to be probed again.
-func (s *searcher) dueForProbe(now time.Time) bool {
-	return s.unreachable() && !s.probing && now.Sub(s.probedAt) >= s.probeInterval
+// dueForProbe reports whether an unreachable searcher is to be probed again: sooner if
+// another one was reached lately.
+func (s *searcher) dueForProbe(now time.Time, busy bool) bool {
+	interval := s.probeInterval
+	if busy {
+		interval = min(interval, quietInterval)
+	}
+	return s.unreachable() && !s.probing && now.Sub(s.probedAt) >= interval
 }
 
 // probeAgain marks an unreachable searcher as being probed again.
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -31,16 +31,13 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
 )
 
-// refusalGrace is how long after a sign of life a refused connection does not count:
-// the searcher still answers on other connections.
-const refusalGrace = time.Second
-
 // Hold times. After a relapse the searchers must stay reachable for a while before
 // they count so, twice as long after each further one.
 const (
@@ -49,6 +46,16 @@
 	maxHoldTime   = 4 * time.Second
 )
 
+// End of a partition.
+const (
+	// maxRejoinUnreachable of one is the share of the searchers that may still be out of
+	// reach, as a divisor.
+	maxRejoinUnreachable = 10
+	// maxRejoinTime is how long after the first searcher was in reach again a partition
+	// ends at the latest.
+	maxRejoinTime = time.Second
+)
+
 // Tracker tracks which searchers are in reach. It is safe for concurrent use.
 type Tracker struct {
 	now func() time.Time
@@ -58,6 +65,8 @@
 	services  map[hysservice.Name]*service
 	// unreachable holds the searchers that are out of reach.
 	unreachable map[*searcher]bool
+	// allReachable is set while there are none, so that nothing is locked then.
+	allReachable atomic.Bool
 	// lastHeard is when anything was last heard from any searcher.
 	lastHeard time.Time
 	// running is the number of sends in flight, busySince since when there are any.
@@ -70,9 +79,11 @@
 	// between two rounds that confirm nothing.
 	nextRoundAt   time.Time
 	roundInterval time.Duration
-	// partitionedSince is zero unless no searcher was reached in a round. rejoinedAt
-	// is when that last ended.
+	// partitionedSince is zero unless no searcher was reached in a round. Until that is
+	// over all services count as lost. rejoiningSince is when the first searcher was in
+	// reach again, and rejoinedAt when the last partition ended.
 	partitionedSince time.Time
+	rejoiningSince   time.Time
 	rejoinedAt       time.Time
 	// holdTime is how long searchers must stay reachable in the current partition, 0
 	// if they need not. lastHoldTime is what it was at the last relapse, and
@@ -85,14 +96,17 @@
 
 // NewTracker returns a tracker without searchers.
 func NewTracker(now func() time.Time) *Tracker {
-	return &Tracker{
+	t := &Tracker{
 		now: now, searchers: make(map[hysmember.SearcherID]*searcher), services: make(map[hysservice.Name]*service),
 		unreachable: make(map[*searcher]bool), lastHeard: now(),
 	}
+	t.allReachable.Store(true)
+	return t
 }
 
 // SetSearchers replaces the searchers; those that are leaving are not tracked. A
-// searcher that is new or has started anew counts as reachable.
+// searcher that is new or has started anew counts as reachable, unless this instance is
+// cut off from all.
 func (t *Tracker) SetSearchers(targets Targets) Changes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -107,6 +121,9 @@
 		s, ok := known[target.Searcher.ID]
 		if !ok || !s.sameStart(target) {
 			s = &searcher{}
+			if !t.partitionedSince.IsZero() {
+				s.unreachableSince, s.evidence = t.now(), EvidenceInferred
+			}
 		}
 		s.Target = target
 		t.add(s)
@@ -117,7 +134,8 @@
 		})
 	}
 	t.schedule.reset()
-	return t.servicesChanged(lostBefore)
+	t.allReachable.Store(len(t.unreachable) == 0 && t.partitionedSince.IsZero())
+	return append(t.compareServices(lostBefore, Change{}), t.endPartition(t.now())...)
 }
 
 func (t *Tracker) add(s *searcher) {
@@ -135,45 +153,54 @@
 	}
 }
 
+// lost reports whether no searcher of a service counts as in reach.
+func (t *Tracker) lost(s *service) bool {
+	return s.lost() || !t.partitionedSince.IsZero() && len(s.searchers) > 0
+}
+
 // lostServices returns since when each lost service is lost.
 func (t *Tracker) lostServices() map[hysservice.Name]time.Time {
 	lost := make(map[hysservice.Name]time.Time)
-	if len(t.unreachable) == 0 {
+	if len(t.unreachable) == 0 && t.partitionedSince.IsZero() {
 		return lost
 	}
 	for name, s := range t.services {
-		if s.lost() {
+		if t.lost(s) {
 			lost[name] = s.lostSince
 		}
 	}
 	return lost
 }
 
-// servicesChanged returns the services that were lost or regained because the list of
-// the searchers changed.
-func (t *Tracker) servicesChanged(before map[hysservice.Name]time.Time) Changes {
+// compareServices returns the services that were lost or regained, where before holds
+// those that were lost.
+func (t *Tracker) compareServices(before map[hysservice.Name]time.Time, cause Change) Changes {
 	now := t.now()
 	var changes Changes
 	for name, s := range t.services {
+		c := cause
+		c.Service = name
 		since, wasLost := before[name]
-		switch {
-		case s.lost() && wasLost:
+		switch lost := t.lost(s); {
+		case lost && wasLost:
 			s.lostSince = since
-		case s.lost():
+		case lost:
 			s.lostSince = now
-			changes = append(changes, t.change(Change{Kind: ChangeServiceLost, Service: name}))
+			c.Kind = ChangeServiceLost
+			changes = append(changes, t.change(c))
 		case wasLost:
-			changes = append(changes, t.change(Change{Kind: ChangeServiceRegained, Service: name, Lasted: now.Sub(since)}))
+			c.Kind, c.Lasted = ChangeServiceRegained, now.Sub(since)
+			changes = append(changes, t.change(c))
 		}
 	}
-	return append(changes, t.endPartition(now)...)
+	return changes
 }
 
 // change completes a change with the state of the tracker.
 func (t *Tracker) change(c Change) Change {
 	c.SilentFor = t.now().Sub(t.lastHeard)
 	c.Unreachable, c.Searchers = len(t.unreachable), len(t.searchers)
-	c.Partitioned = !t.partitionedSince.IsZero()
+	c.Partitioned = c.Partitioned || !t.partitionedSince.IsZero()
 	return c
 }
 
@@ -261,30 +288,42 @@
 
 // regain marks a searcher as reachable.
 func (t *Tracker) regain(s *searcher, now time.Time) Changes {
-	wasLost, lostSince := s.service.lost(), s.service.lostSince
-	since := s.unreachableSince
+	wasLost, lostSince, since := t.lost(s.service), s.service.lostSince, s.unreachableSince
 	s.unreachableSince, s.evidence, s.probeInterval = time.Time{}, EvidenceNone, 0
 	s.service.unreachable--
 	delete(t.unreachable, s)
-	changes := Changes{t.change(Change{
-		Kind: ChangeSearcherRegained, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since),
-	})}
-	if wasLost {
-		changes = append(changes, t.change(Change{
-			Kind: ChangeServiceRegained, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(lostSince),
-		}))
+	t.allReachable.Store(len(t.unreachable) == 0 && t.partitionedSince.IsZero())
+	of := Change{Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since)}
+	of.Kind = ChangeSearcherRegained
+	changes := Changes{t.change(of)}
+	if !t.partitionedSince.IsZero() && t.rejoiningSince.IsZero() {
+		t.rejoiningSince = now
+	}
+	if wasLost && !t.lost(s.service) {
+		of.Kind, of.Lasted = ChangeServiceRegained, now.Sub(lostSince)
+		changes = append(changes, t.change(of))
 	}
 	return append(changes, t.endPartition(now)...)
 }
 
-// endPartition ends a partition once most searchers are in reach.
+// endPartition ends a partition once nearly all searchers are in reach, or some time
+// after the first one. Until then only some replicas of each shard are, which can't
+// carry the load.
 func (t *Tracker) endPartition(now time.Time) Changes {
-	if t.partitionedSince.IsZero() || 2*len(t.unreachable) > len(t.searchers) {
+	if t.partitionedSince.IsZero() {
+		return nil
+	}
+	nearlyAll := maxRejoinUnreachable*len(t.unreachable) <= len(t.searchers)
+	late := !t.rejoiningSince.IsZero() && now.Sub(t.rejoiningSince) >= maxRejoinTime
+	if !nearlyAll && !late {
 		return nil
 	}
+	before := t.lostServices()
 	lasted := now.Sub(t.partitionedSince)
-	t.partitionedSince, t.rejoinedAt = time.Time{}, now
-	return Changes{t.change(Change{Kind: ChangeRejoined, Lasted: lasted})}
+	t.partitionedSince, t.rejoiningSince, t.rejoinedAt = time.Time{}, time.Time{}, now
+	t.allReachable.Store(len(t.unreachable) == 0)
+	changes := Changes{t.change(Change{Kind: ChangeRejoined, Lasted: lasted})}
+	return append(changes, t.compareServices(before, Change{Partitioned: true})...)
 }
 
 // Failed records a send that failed before a response was received. began is when it
@@ -331,14 +370,7 @@
 // reach. A probe that took much longer than its timeout says more about this process,
 // which may have been suspended.
 func (t *Tracker) provesUnreachable(s *searcher, began, now time.Time, e Evidence) bool {
-	switch {
-	case s.heardAt.After(began), now.Sub(began) > 2*ProbeTimeout:
-		return false
-	case e == EvidenceRefused:
-		return now.Sub(s.heardAt) > refusalGrace
-	default:
-		return true
-	}
+	return !s.heardAt.After(began) && now.Sub(began) <= 2*ProbeTimeout && e != EvidenceRefusedInUse
 }
 
 // lose marks a searcher as out of reach.
@@ -347,10 +379,15 @@
 	if s.unreachable() {
 		return nil
 	}
+	wasLost := t.lost(s.service)
 	s.unreachableSince = now
 	s.service.unreachable++
 	t.unreachable[s] = true
-	if !s.service.lost() {
+	t.allReachable.Store(false)
+	if len(t.unreachable) == len(t.searchers) {
+		t.rejoiningSince = time.Time{}
+	}
+	if wasLost || !s.service.lost() {
 		return nil
 	}
 	s.service.lostSince = now
@@ -359,25 +396,25 @@
 
 // Lost reports whether no searcher of a service is in reach, though there are some.
 func (t *Tracker) Lost(name hysservice.Name) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.unreachable) == 0 {
+	if t.allReachable.Load() {
 		return false
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	s, ok := t.services[name]
-	return ok && s.lost()
+	return ok && t.lost(s)
 }
 
 // LostCount returns how many of some services are lost.
 func (t *Tracker) LostCount(names []hysservice.Name) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.unreachable) == 0 {
+	if t.allReachable.Load() {
 		return 0
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	count := 0
 	for _, name := range names {
-		if s, ok := t.services[name]; ok && s.lost() {
+		if s, ok := t.services[name]; ok && t.lost(s) {
 			count++
 		}
 	}
@@ -386,11 +423,11 @@
 
 // Reachable reports whether a searcher is not known to be out of reach.
 func (t *Tracker) Reachable(id hysmember.SearcherID) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.unreachable) == 0 {
+	if t.allReachable.Load() {
 		return true
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	s, ok := t.searchers[id]
 	return !ok || !s.unreachable()
 }
@@ -402,13 +439,6 @@
 	return t.round != nil
 }
 
-// HeardWithin reports whether anything was heard from any searcher lately.
-func (t *Tracker) HeardWithin(span time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.now().Sub(t.lastHeard) <= span
-}
-
 // Status returns the state of the tracker.
 func (t *Tracker) Status() Status {
 	t.mu.Lock()
--- a/internal/gen/front/frontconnect/front.connect.go
+++ b/internal/gen/front/frontconnect/front.connect.go
@@ -41,6 +41,8 @@
 	FrontServiceGatherProcedure = "/hyssopshore.front.v1.FrontService/Gather"
 	// FrontServiceProbeProcedure is the fully-qualified name of the FrontService's Probe RPC.
 	FrontServiceProbeProcedure = "/hyssopshore.front.v1.FrontService/Probe"
+	// FrontServiceRunProcedure is the fully-qualified name of the FrontService's Run RPC.
+	FrontServiceRunProcedure = "/hyssopshore.front.v1.FrontService/Run"
 	// FrontServicePermitsProcedure is the fully-qualified name of the FrontService's Permits RPC.
 	FrontServicePermitsProcedure = "/hyssopshore.front.v1.FrontService/Permits"
 )
@@ -55,6 +57,9 @@
 	Gather(context.Context, *connect.Request[front.GatherRequest]) (*connect.ServerStreamForClient[front.GatherReply], error)
 	// Probe returns at once.
 	Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error)
+	// Run runs sub-requests of the caller, which can't reach their searchers. The first
+	// reply says whether the called daemon takes them, the others hold the results.
+	Run(context.Context, *connect.Request[front.RunRequest]) (*connect.ServerStreamForClient[front.RunReply], error)
 	// Permits answers asks for permits of searchers that have rate limits.
 	Permits(context.Context, *connect.Request[peer.PermitsRequest]) (*connect.Response[peer.PermitsReply], error)
 }
@@ -88,6 +93,12 @@
 			connect.WithSchema(frontServiceMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
+		run: connect.NewClient[front.RunRequest, front.RunReply](
+			httpClient,
+			baseURL+FrontServiceRunProcedure,
+			connect.WithSchema(frontServiceMethods.ByName("Run")),
+			connect.WithClientOptions(opts...),
+		),
 		permits: connect.NewClient[peer.PermitsRequest, peer.PermitsReply](
 			httpClient,
 			baseURL+FrontServicePermitsProcedure,
@@ -102,6 +113,7 @@
 	follow  *connect.Client[front.FollowRequest, front.FollowReply]
 	gather  *connect.Client[front.GatherRequest, front.GatherReply]
 	probe   *connect.Client[front.ProbeRequest, front.ProbeReply]
+	run     *connect.Client[front.RunRequest, front.RunReply]
 	permits *connect.Client[peer.PermitsRequest, peer.PermitsReply]
 }
 
@@ -120,6 +132,11 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
+// Run calls hyssopshore.front.v1.FrontService.Run.
+func (c *frontServiceClient) Run(ctx context.Context, req *connect.Request[front.RunRequest]) (*connect.ServerStreamForClient[front.RunReply], error) {
+	return c.run.CallServerStream(ctx, req)
+}
+
 // Permits calls hyssopshore.front.v1.FrontService.Permits.
 func (c *frontServiceClient) Permits(ctx context.Context, req *connect.Request[peer.PermitsRequest]) (*connect.Response[peer.PermitsReply], error) {
 	return c.permits.CallUnary(ctx, req)
@@ -135,6 +152,9 @@
 	Gather(context.Context, *connect.Request[front.GatherRequest], *connect.ServerStream[front.GatherReply]) error
 	// Probe returns at once.
 	Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error)
+	// Run runs sub-requests of the caller, which can't reach their searchers. The first
+	// reply says whether the called daemon takes them, the others hold the results.
+	Run(context.Context, *connect.Request[front.RunRequest], *connect.ServerStream[front.RunReply]) error
 	// Permits answers asks for permits of searchers that have rate limits.
 	Permits(context.Context, *connect.Request[peer.PermitsRequest]) (*connect.Response[peer.PermitsReply], error)
 }
@@ -164,6 +184,12 @@
 		connect.WithSchema(frontServiceMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	frontServiceRunHandler := connect.NewServerStreamHandler(
+		FrontServiceRunProcedure,
+		svc.Run,
+		connect.WithSchema(frontServiceMethods.ByName("Run")),
+		connect.WithHandlerOptions(opts...),
+	)
 	frontServicePermitsHandler := connect.NewUnaryHandler(
 		FrontServicePermitsProcedure,
 		svc.Permits,
@@ -178,6 +204,8 @@
 			frontServiceGatherHandler.ServeHTTP(w, r)
 		case FrontServiceProbeProcedure:
 			frontServiceProbeHandler.ServeHTTP(w, r)
+		case FrontServiceRunProcedure:
+			frontServiceRunHandler.ServeHTTP(w, r)
 		case FrontServicePermitsProcedure:
 			frontServicePermitsHandler.ServeHTTP(w, r)
 		default:
@@ -201,6 +229,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Probe is not implemented"))
 }
 
+func (UnimplementedFrontServiceHandler) Run(context.Context, *connect.Request[front.RunRequest], *connect.ServerStream[front.RunReply]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Run is not implemented"))
+}
+
 func (UnimplementedFrontServiceHandler) Permits(context.Context, *connect.Request[peer.PermitsRequest]) (*connect.Response[peer.PermitsReply], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hyssopshore.front.v1.FrontService.Permits is not implemented"))
 }
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -171,17 +171,21 @@
 	}
 	if err == nil {
 		c.observer.Heard(s.ID)
-	} else {
-		c.observeFailure(ctx, s, began, err)
 	}
+	dialErr := err
 	if err == nil && c.resetRecently(keyOf(s)) {
 		err = conn.awaitImmediateClose(ctx)
 	}
+	if err != nil {
+		c.releaseSlot(keyOf(s))
+	}
+	if dialErr != nil {
+		c.observeFailure(ctx, s, began, dialErr)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(keyOf(s))
 	if err != nil {
-		p.open--
 		return nil, fmt.Errorf("connect to %s: %w", s.ID, err)
 	}
 	conn.idleTimeout = p.effectiveIdleTimeout()
--- a/io/hysforward/reach.go
+++ b/io/hysforward/reach.go
@@ -48,9 +48,9 @@
 	return nil
 }
 
-// EvidenceOf returns what an error of a connection says about the reach of its
+// evidenceOf returns what an error of a connection says about the reach of its
 // searcher. A connection that the searcher has closed says nothing.
-func EvidenceOf(err error) hysreach.Evidence {
+func evidenceOf(err error) hysreach.Evidence {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
@@ -68,9 +68,26 @@
 	}
 }
 
+// Evidence returns what an error of a connection says about the reach of its searcher,
+// given the other connections to it.
+func (c *Client) Evidence(s hysmember.Searcher, err error) hysreach.Evidence {
+	e := evidenceOf(err)
+	if e != hysreach.EvidenceRefused {
+		return e
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pool(keyOf(s))
+	p.dropUnusable(time.Now())
+	if p.open > 0 {
+		return hysreach.EvidenceRefusedInUse
+	}
+	return e
+}
+
 // observeFailure tells the observer of an error, unless the context has ended.
 func (c *Client) observeFailure(ctx context.Context, s hysmember.Searcher, began time.Time, err error) {
-	if e := EvidenceOf(err); e != hysreach.EvidenceNone && ctx.Err() == nil {
+	if e := c.Evidence(s, err); e != hysreach.EvidenceNone && ctx.Err() == nil {
 		c.observer.Failed(s.ID, began, e)
 	}
 }
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -94,6 +94,7 @@
 	}
 	if changed {
 		f.permits.Ranking.SetInstances(instances)
+		f.relays.SetInstances(f.self(), instances)
 		f.updateReplicas()
 	}
 }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -121,8 +121,12 @@
 	// gathererSet holds the daemons that gather queries. delegates picks the one to
 	// which this daemon delegates a query. delegatedShards counts the shards of
 	// other daemons' queries that are in flight here.
-	gathererSet     atomic.Pointer[gathererSet]
-	delegates       *hysgather.Delegates
+	gathererSet atomic.Pointer[gathererSet]
+	delegates   *hysgather.Delegates
+	// relays picks the daemon that runs what this one can't. inFlight holds the
+	// sub-requests that end when their searchers are lost.
+	relays          *hysgather.Relays
+	inFlight        inFlight
 	delegatedShards atomic.Int64
 
 	// Lock order: configureMu, then mu, then the dispatcher's locks, then budgetMu.
@@ -188,6 +192,8 @@
 		started:            time.Now(),
 
 		delegates: hysgather.NewDelegates(time.Now),
+		relays:    hysgather.NewRelays(time.Now),
+		inFlight:  inFlight{all: make(map[hysservice.Name]map[uint64]context.CancelCauseFunc)},
 		suspects:  hysquarantine.NewTracker(time.Now),
 
 		reach: hysreach.NewTracker(time.Now), checkReach: make(chan struct{}, 1),
@@ -202,16 +208,17 @@
 		Searcher: headers.Searcher, NotRun: headers.NotRun, Leaving: headers.Leaving,
 		Limit: headers.Limit,
 	}, hysforward.WithConnectionCap(f.connectionCap), hysforward.WithResponseMemory(s.responseMemory()),
-		hysforward.WithRefusedFunc(func(s hysmember.Searcher) { f.attributeCrash(s.ID) }),
+		hysforward.WithRefusedFunc(f.searcherRefused),
 		hysforward.WithObserver(hysforward.Observer{Heard: f.searcherHeard, Failed: f.searcherFailed}))
 	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percentile: hedgePercentile, DefaultDelay: defaultHedgeDelay, RetryReserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime),
-		hysdispatch.WithConnections(f.forward.Connected), hysdispatch.WithLimitFunc(hyspermit.LogLimits(f.log)),
+		hysdispatch.WithConnections(f.forward.Connected), hysdispatch.WithReach(f.reach.Reachable), hysdispatch.WithLimitFunc(hyspermit.LogLimits(f.log)),
 		hysdispatch.WithPermits(func() { f.permits.Need() }, func() int { return int(f.peakInstances.Load()) }))
 	f.permits = f.newPermits()
 	f.ingress = &hysingress.Ingress{
-		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
+		Headers: headers, State: f.awaitConfiguration, Submit: f.submitHere, Admit: f.dispatcher.Admit,
+		Relay: f.relay, Lost: f.reach.Lost,
 		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections,
 	}
 	f.callerServer = newCallerServer(f.ingress, f.log)
--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
@@ -93,53 +94,117 @@
 // errGatherLocally means that this daemon gathers the query itself.
 const errGatherLocally = errors.ConstError("no gatherer is to be asked")
 
-// delegate delegates a query to a gatherer, unless this daemon is one itself or
-// none accepts the query. A gatherer that has not accepted in time may send to each
-// shard once before it notices that the query was cancelled; this daemon then
-// gathers the query itself, with the remaining attempts. delegate also returns how
-// many attempts may have been used.
+// delegate delegates a query to a gatherer, unless this daemon is one itself or none
+// accepts the query. If most shards are lost here, any daemon is asked. One that has not
+// accepted in time may send to each shard once before it notices that the query was
+// cancelled; this daemon then goes on with the remaining attempts. delegate also returns
+// how many attempts may have been used.
 func (f *Front) delegate(ctx context.Context, d hysingress.Delegation) (hysingress.DelegationResult, int, error) {
-	g := f.gathererSet.Load()
-	if g == nil || g.isGatherer {
-		return hysingress.DelegationResult{}, 0, errGatherLocally
-	}
+	lost := f.mostlyLost(d.Shards)
+	gatherers := f.gatherersToAsk(lost)
 	lastErr := error(errGatherLocally)
-	for _, gatherer := range f.delegates.Pick(f.settings.Instance, g.regional) {
-		began := time.Now()
-		answer, err := f.relayClient.Gather(ctx, gatherer.Address, d)
-		end, declinedFor := delegationEnd(err)
-		f.metrics.ObserveDelegation(end.String())
+	var asked hysmember.Instances
+	for d.UsedAttempts < d.MaxAttempts && len(asked) < maxRelays {
+		to, ok := f.nextDelegate(gatherers, asked, lost)
+		if !ok {
+			break
+		}
+		asked = append(asked, to)
+		answer, err := f.delegateTo(ctx, to, d, lost)
 		if err == nil {
-			answer.Instance = string(gatherer.ID)
+			answer.Instance = string(to.ID)
 			return answer, d.UsedAttempts, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, hysingress.ErrGathererLost) {
 			return hysingress.DelegationResult{}, d.UsedAttempts, fmt.Errorf("delegate: %w", err)
 		}
 		lastErr = err
-		f.delegates.Record(gatherer.ID, end, declinedFor)
-		f.log.Info("gatherer did not accept query", "id", d.ID, "gatherer", gatherer.ID, "end", end.String(),
-			"error", err, "ms", time.Since(began).Milliseconds())
-		if !end.NotRun() {
+		if mayHaveRun(err) {
 			d.UsedAttempts++
+		}
+		if end, _ := delegationEnd(err); end == hysgather.DelegationSilent && !lost {
 			break
 		}
 	}
 	return hysingress.DelegationResult{}, d.UsedAttempts, fmt.Errorf("delegate: %w", lastErr)
 }
 
+// gatherersToAsk returns the gatherers to which a query is delegated, in order. lost is
+// set if most of its shards are lost here.
+func (f *Front) gatherersToAsk(lost bool) hysmember.Instances {
+	g := f.gathererSet.Load()
+	switch {
+	case g == nil:
+		return nil
+	case lost && g.otherCount > 0:
+		return f.delegates.Candidates(f.settings.Instance, g.regional)
+	case lost:
+		// Each daemon is a gatherer, also those of other regions.
+		return nil
+	default:
+		return f.delegates.Pick(f.settings.Instance, g.regional)
+	}
+}
+
+// nextDelegate returns the daemon that is asked next to gather a query: a gatherer, or
+// any other one if the query is lost here. It returns false if there is none.
+func (f *Front) nextDelegate(gatherers, asked hysmember.Instances, lost bool) (hysmember.Instance, bool) {
+	if len(asked) < len(gatherers) {
+		return gatherers[len(asked)], true
+	}
+	if !lost {
+		return hysmember.Instance{}, false
+	}
+	return f.relays.Pick("", asked)
+}
+
+// delegateTo delegates a query to one daemon.
+func (f *Front) delegateTo(ctx context.Context, to hysmember.Instance, d hysingress.Delegation, lost bool) (hysingress.DelegationResult, error) {
+	began, patience := time.Now(), time.Duration(0)
+	if lost {
+		patience = f.patience(to)
+	}
+	answer, err := f.relayClient.Gather(ctx, to.Address, d, patience)
+	end, declinedFor := delegationEnd(err)
+	f.metrics.ObserveDelegation(end.String())
+	if err == nil {
+		f.relays.Record(to.ID, "", end, 0)
+		return answer, nil
+	}
+	if ctx.Err() == nil {
+		f.delegates.Record(to.ID, end, declinedFor)
+		f.relays.Record(to.ID, "", end, declinedFor)
+		f.log.Info("gatherer did not accept query", "id", d.ID, "gatherer", to.ID, "end", end.String(),
+			"error", err, "ms", time.Since(began).Milliseconds())
+	}
+	return hysingress.DelegationResult{}, err
+}
+
+// mayHaveRun reports whether a daemon that has not answered a query may have run it.
+func mayHaveRun(err error) bool {
+	var lost *hysingress.SearchersLostError
+	if errors.As(err, &lost) {
+		return !lost.NotRun
+	}
+	end, _ := delegationEnd(err)
+	return !end.NotRun()
+}
+
 // delegationEnd returns how a delegation has ended, and for how long a gatherer
 // that declined it accepts no other.
 func delegationEnd(err error) (hysgather.DelegationEnd, time.Duration) {
 	var declined *hysingress.DeclinedError
+	var lost *hysingress.SearchersLostError
 	switch {
 	case err == nil:
 		return hysgather.DelegationAnswered, 0
 	case errors.As(err, &declined):
 		return hysgather.DelegationDeclined, declined.RetryAfter
+	case errors.As(err, &lost):
+		return hysgather.DelegationDeclined, errLost.RetryAfter
 	case errors.Is(err, hysingress.ErrGathererLost):
 		return hysgather.DelegationLost, 0
-	case errors.Is(err, unix.ECONNREFUSED):
+	case errors.Is(err, unix.ECONNREFUSED), connect.CodeOf(err) == connect.CodeUnimplemented:
 		return hysgather.DelegationRefused, 0
 	default:
 		return hysgather.DelegationSilent, 0
@@ -150,15 +215,15 @@
 func (f *Front) gather(ctx context.Context, d hysingress.Delegation, accept func() error) (hysingress.DelegationResult, error) {
 	accepted := 0
 	defer func() { f.delegatedShards.Add(-int64(accepted)) }()
-	answer, err := f.ingress.Gather(ctx, d, func(shards int) error {
-		if f.draining.Load() {
-			return errStopping
+	answer, err := f.ingress.Gather(ctx, d, func(shards []hysservice.Name) error {
+		if err := f.declines(shards); err != nil {
+			return err
 		}
-		if f.delegatedShards.Add(int64(shards)) > f.maxDelegatedShards() {
-			f.delegatedShards.Add(-int64(shards))
+		if f.delegatedShards.Add(int64(len(shards))) > f.maxDelegatedShards() {
+			f.delegatedShards.Add(-int64(len(shards)))
 			return errFull
 		}
-		accepted = shards
+		accepted = len(shards)
 		return accept()
 	})
 	if err != nil {
--- a/io/hysfront/quarantine.go
+++ b/io/hysfront/quarantine.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// crashConfirmTime is the time after a refused connection within which this daemon finds
+// out whether it reaches any searcher.
+const crashConfirmTime = 400 * time.Millisecond
+
+// searcherRefused attributes the crash of a searcher that has refused a connection,
+// unless it turns out that no searcher of its service is in reach: then this daemon may
+// be cut off, and the searcher is well.
+func (f *Front) searcherRefused(s hysmember.Searcher) {
+	time.AfterFunc(crashConfirmTime, func() {
+		if !f.reach.Lost(s.Service) {
+			f.attributeCrash(s.ID)
+		}
+	})
+}
+
 // attributeCrash attributes the crash of a searcher to the requests that were lost
 // there.
 func (f *Front) attributeCrash(id hysmember.SearcherID) {
--- a/io/hysfront/reach.go
+++ b/io/hysfront/reach.go
@@ -8,7 +8,6 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysreach"
 	"hyssopshore/core/hysservice"
-	"hyssopshore/io/hysforward"
 )
 
 // checkLinger is how long the reach is still checked regularly after there is nothing
@@ -88,12 +87,27 @@
 	case err == nil:
 		f.handleReach(f.reach.Reached(t.Searcher.ID))
 	default:
-		f.handleReach(f.reach.ProbeFailed(t.Searcher.ID, began, hysforward.EvidenceOf(err)))
+		f.handleReach(f.reach.ProbeFailed(t.Searcher.ID, began, f.forward.Evidence(t.Searcher, err)))
 	}
 }
 
-// handleReach logs changes of what this daemon can reach.
+// handleReach applies and logs changes of what this daemon can reach: it ends the
+// sub-requests of services that are lost, and forgets what sends to a searcher that is
+// back have shown.
 func (f *Front) handleReach(changes hysreach.Changes) {
+	for _, c := range changes {
+		switch c.Kind {
+		case hysreach.ChangeServiceLost:
+			f.inFlight.cancel(c.Service, hysdispatch.ErrUnreachable)
+		case hysreach.ChangeSearcherRegained:
+			f.dispatcher.Recover(c.Service, c.Searcher)
+		}
+	}
+	f.logReach(changes)
+}
+
+// logReach logs changes of what this daemon can reach.
+func (f *Front) logReach(changes hysreach.Changes) {
 	for _, c := range changes {
 		switch c.Kind {
 		case hysreach.ChangePartitioned:
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -56,7 +56,7 @@
 		{name: "callers", address: f.settings.CallerAddress, serve: f.callerServer.Serve, close: f.callerServer.close},
 		f.internalPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness)),
 		f.internalPort("metrics", metrics, f.metrics.Handler()),
-		f.internalPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.serveFollow, f.gather, f.permits.Serve)),
+		f.internalPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.serveFollow, f.gather, f.runForAnother, f.permits.Serve)),
 	}
 }
 
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -15,6 +15,7 @@
 	"hyssopshore/core/hysmessage"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysroute"
+	"hyssopshore/core/hysservice"
 )
 
 // Reasons for which this instance does not gather a query for another one.
@@ -38,7 +39,11 @@
 	Goal  time.Duration
 	// Configuration is the version with which the query was matched.
 	Configuration hysroute.Version
-	// UsedAttempts is how often the query may have been sent to each shard before.
+	// Shards are the shards of the query.
+	Shards []hysservice.Name
+	// MaxAttempts is how many searchers of each shard may run it; UsedAttempts is how
+	// often it may have been sent to each shard before.
+	MaxAttempts  int
 	UsedAttempts int
 }
 
@@ -61,6 +66,16 @@
 // Error returns the reason.
 func (d *DeclinedError) Error() string { return d.Reason }
 
+// SearchersLostError is the error of an instance that has given a query up, since too
+// few of its shards are in reach there. Another instance may answer it.
+type SearchersLostError struct {
+	// NotRun is set if no searcher has run any part of the query.
+	NotRun bool
+}
+
+// Error describes the error.
+func (s *SearchersLostError) Error() string { return "too few shards are in reach" }
+
 // ErrGathererLost means that an instance has accepted a query and gives no answer.
 // The query may have been sent as often as its route allows.
 const ErrGathererLost = errors.ConstError("the instance that gathered the query was lost")
@@ -83,6 +98,7 @@
 			Header: hysmessage.EndToEnd(e.request.Header), Body: e.message.Body,
 		},
 		Start: e.start, Goal: e.route.Goal, Configuration: e.record.Configuration,
+		Shards: e.route.Shards, MaxAttempts: e.route.MaxAttempts, UsedAttempts: e.usedAttempts,
 	})
 	e.usedAttempts = used
 	switch {
@@ -103,9 +119,8 @@
 	return true
 }
 
-// AcceptFunc accepts a query over a number of shards, or returns why it is
-// declined.
-type AcceptFunc func(shards int) error
+// AcceptFunc accepts a query over some shards, or returns why it is declined.
+type AcceptFunc func(shards []hysservice.Name) error
 
 // Gather answers a query that another instance has delegated. The query is observed
 // here too, with the caller's request ID. Nothing runs before accept has returned
@@ -120,12 +135,15 @@
 	if !ok || !route.IsQuery() {
 		return DelegationResult{}, ErrNotQuery
 	}
-	if err := accept(len(route.Shards)); err != nil {
+	if err := accept(route.Shards); err != nil {
 		return DelegationResult{}, fmt.Errorf("Ingress.Gather: %w", err)
 	}
 	w := &responseBuffer{header: make(http.Header)}
 	e := &exchange{ingress: i, writer: w, request: request, start: d.Start, delegated: true, usedAttempts: d.UsedAttempts}
 	e.serve()
+	if e.searchersLost {
+		return DelegationResult{}, &SearchersLostError{NotRun: e.notRun}
+	}
 	return DelegationResult{
 		Response: hysmessage.Response{Status: w.status, Header: w.header, Body: w.body.Bytes()}, Record: e.record,
 	}, nil
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -108,6 +108,10 @@
 	GatheredBy string
 	// Delegated is set in the gatherer's record of a delegated query.
 	Delegated bool
+	// Relayed is the number of sub-requests that another instance ran, RelayedTo the
+	// last such instance.
+	Relayed   int
+	RelayedTo string
 }
 
 // MissingShard is a shard that an answer does not cover.
@@ -124,6 +128,9 @@
 	// StateFunc returns the configuration in force. While there is none it waits
 	// for the first one, and returns nil if that does not arrive soon.
 	StateFunc func(context.Context) *hysroute.Configuration
+	// RelayFunc is the type of Ingress.Relay. shards are those of the query, nil for a
+	// request that one searcher runs.
+	RelayFunc func(shards []hysservice.Name, delegable bool) hysgather.SubmitFunc
 	// AdmitFunc decides whether a query may run, given the minimum number of shards
 	// that its answer needs. If not, the reply says when to send the query again.
 	AdmitFunc func(subs []hysdispatch.SubRequest, minimum int) (hysdispatch.SubReply, bool)
@@ -139,6 +146,13 @@
 	Headers Headers
 	State   StateFunc
 	Submit  hysgather.SubmitFunc
+	// Relay returns a function that runs the sub-requests of one request here, or at
+	// another instance if no searcher of their service is in reach here. If most shards
+	// of a query are lost and it may be delegated as a whole, its sub-requests are not
+	// relayed. nil if there are no other instances.
+	Relay RelayFunc
+	// Lost reports whether no searcher of a service is in reach; nil if they always are.
+	Lost func(hysservice.Name) bool
 	// Admit decides whether a query may run.
 	Admit AdmitFunc
 	// Delegate delegates a query to another instance; nil if each instance gathers
@@ -172,6 +186,10 @@
 	delegated bool
 	// usedAttempts is how often the query may have been sent to each shard before.
 	usedAttempts int
+	// searchersLost is set for a delegated query that was given up, since too few of its
+	// shards are in reach, and notRun if no searcher has run any part of it.
+	searchersLost bool
+	notRun        bool
 }
 
 // ServeHTTP answers a request.
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -14,14 +14,55 @@
 	"hyssopshore/core/hysservice"
 )
 
-// runQuery answers a query, which one searcher of each shard runs.
+// runQuery answers a query, which one searcher of each shard runs. If most of its shards
+// are lost, here and while it runs, it is delegated as a whole.
 func (e *exchange) runQuery(ctx context.Context) {
+	lost := e.mostlyLost()
 	if e.delegate(ctx) {
 		return
 	}
+	if e.fanOut(ctx, !lost) {
+		return
+	}
+	if e.usedAttempts >= e.route.MaxAttempts {
+		e.fail(http.StatusBadGateway, string(hysdispatch.ErrUnreachable))
+		return
+	}
+	if !e.delegate(ctx) {
+		e.fanOut(ctx, false)
+	}
+}
+
+// mostlyLost reports whether more than half of the shards are lost.
+func (e *exchange) mostlyLost() bool { return 2*e.lostCount() > len(e.route.Shards) }
+
+func (e *exchange) lostCount() int {
+	if e.ingress.Lost == nil {
+		return 0
+	}
+	count := 0
+	for _, service := range e.route.Shards {
+		if e.ingress.Lost(service) {
+			count++
+		}
+	}
+	return count
+}
+
+// submit returns the function that runs the sub-requests.
+func (e *exchange) submit(shards []hysservice.Name, delegable bool) hysgather.SubmitFunc {
+	if e.ingress.Relay == nil {
+		return e.ingress.Submit
+	}
+	return e.ingress.Relay(shards, delegable)
+}
+
+// fanOut sends the sub-requests of the query. It reports whether the request has ended.
+// If it may be delegated and its searchers were lost meanwhile, it has not.
+func (e *exchange) fanOut(ctx context.Context, delegable bool) bool {
 	shards := e.route.Shards
 	s := &hysgather.DirectFanOut{
-		Submit: e.ingress.Submit, Deadline: e.deadline,
+		Submit: e.submit(shards, delegable), Deadline: e.deadline,
 		Policy: hyspartial.Policy{
 			Shards: len(shards), Minimum: e.route.MinimumShards(),
 			Goal: e.due(),
@@ -31,12 +72,15 @@
 		s.SubRequests = append(s.SubRequests, e.subRequest(service))
 	}
 	e.record.Shards = len(shards)
-	if refusal, ok := e.ingress.Admit(s.SubRequests, s.Policy.Minimum); !ok {
+	if refusal, ok := e.admit(s.SubRequests, s.Policy.Minimum); !ok {
 		e.record.Queue = refusal.Queue
 		e.refuse(refusal.Reason, refusal.RetryAfter)
-		return
+		return true
 	}
 	result := s.Run(ctx)
+	if delegable && ctx.Err() == nil && result.Verdict == hyspartial.VerdictGiveUp && result.Unreachable() {
+		return e.giveUp(result)
+	}
 	covered := result.Covered()
 	e.record.Answered = result.Answered
 	switch {
@@ -58,8 +102,63 @@
 	result.CollectOutstanding()
 	for _, reply := range result.Replies {
 		e.record.Sends += reply.Sends
+		e.recordRelay(reply)
 	}
 	e.record.Missing = missingShards(shards, covered, result.Replies)
+	return true
+}
+
+// admit decides whether the query may run, by the shards that are in reach. The other
+// sub-requests are relayed, and the instances that run them decide about these.
+func (e *exchange) admit(subs []hysdispatch.SubRequest, minimum int) (hysdispatch.SubReply, bool) {
+	lost := e.lostCount()
+	if lost == 0 {
+		return e.ingress.Admit(subs, minimum)
+	}
+	var here []hysdispatch.SubRequest
+	for _, sub := range subs {
+		if !e.ingress.Lost(sub.Service) {
+			here = append(here, sub)
+		}
+	}
+	if minimum = minimum - (len(subs) - len(here)); minimum < 1 {
+		return hysdispatch.SubReply{}, true
+	}
+	return e.ingress.Admit(here, minimum)
+}
+
+// giveUp ends a fan-out whose searchers were lost. It reports whether the request has
+// ended here: a delegated query goes back to the instance that has delegated it.
+func (e *exchange) giveUp(result hysgather.DirectFanOutResult) bool {
+	runs := 0
+	for _, reply := range result.Replies {
+		runs = max(runs, reply.PossibleRuns, possibleRuns(reply))
+		e.record.Sends += reply.Sends
+	}
+	if e.delegated {
+		e.searchersLost, e.notRun = true, result.NotRun()
+		e.record.Outcome, e.record.Reason = OutcomeFailed, string(hysdispatch.ErrUnreachable)
+		return true
+	}
+	e.usedAttempts += runs
+	return false
+}
+
+// possibleRuns returns how many searchers may have run a sub-request that has another
+// reply than that its searchers are out of reach.
+func possibleRuns(reply hysdispatch.SubReply) int {
+	if reply.NotRun || reply.Unreachable {
+		return 0
+	}
+	return reply.Sends
+}
+
+// recordRelay records that another instance has run a sub-request.
+func (e *exchange) recordRelay(reply hysdispatch.SubReply) {
+	if reply.RelayedTo != "" {
+		e.record.Relayed++
+		e.record.RelayedTo = string(reply.RelayedTo)
+	}
 }
 
 // observeLateness records how late a partial answer was sent. It skips an answer
--- a/io/hysingress/single.go
+++ b/io/hysingress/single.go
@@ -12,7 +12,8 @@
 func (e *exchange) runSingle(ctx context.Context) {
 	service := e.route.Pick()
 	e.record.Service = service
-	reply := e.ingress.Submit(ctx, e.subRequest(service))
+	reply := e.submit(nil, false)(ctx, e.subRequest(service))
+	e.recordRelay(reply)
 	e.record.Sends, e.record.Searcher, e.record.Reason, e.record.Queue = reply.Sends, string(reply.Searcher), reply.Reason, reply.Queue
 	switch {
 	case reply.Message != nil:
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -167,6 +167,12 @@
 	m.scope.Tagged(map[string]string{"result": result}).Counter("delegations_total").Inc(1)
 }
 
+// ObserveRelay counts, by result, sub-requests that another instance was asked to run, or
+// that were run on behalf of one.
+func (m *Metrics) ObserveRelay(result string, count int) {
+	m.scope.Tagged(map[string]string{"result": result}).Counter("relayed_total").Inc(int64(count))
+}
+
 func (m *Metrics) observeCoverage(service string, coverage hysquery.Coverage) {
 	counts := make(map[hysquery.ShardStatus]int64)
 	for _, c := range coverage {
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -32,12 +32,14 @@
 	// probeGoalShare is the share of a query's goal after which a gatherer that has
 	// not answered is probed.
 	probeGoalShare = 0.6
-	// A probe times out after minProbeTimeout, probeTimeoutShare of the goal or
-	// probeAcceptFactor times the duration of the acceptance, whichever is longest:
-	// the machine may be busy, or the network slow.
-	minProbeTimeout   = 25 * time.Millisecond
-	probeTimeoutShare = 0.1
-	probeAcceptFactor = 2
+	// A probe times out after minProbeTimeout, probeTimeoutShare of the goal,
+	// probeAcceptFactor times the duration of the acceptance or probePatienceFactor times
+	// the patience with the daemon, whichever is longest: the machine may be busy, or the
+	// network slow.
+	minProbeTimeout     = 25 * time.Millisecond
+	probeTimeoutShare   = 0.1
+	probeAcceptFactor   = 2
+	probePatienceFactor = 4
 )
 
 // GatherFunc answers a query of another daemon. It calls accept before anything
@@ -52,9 +54,12 @@
 		return stream.Send(&front.GatherReply{Accepted: true})
 	}
 	answer, err := s.gather(ctx, decodeDelegation(r.Msg), accept)
+	var lost *hysingress.SearchersLostError
 	switch {
 	case err == nil:
 		return stream.Send(encodeDelegationResult(answer))
+	case errors.As(err, &lost):
+		return stream.Send(&front.GatherReply{Accepted: true, SearchersLost: true, NotRun: lost.NotRun})
 	case accepted:
 		return connect.NewError(connect.CodeUnavailable, err)
 	default:
@@ -69,15 +74,16 @@
 	return connect.NewResponse(&front.ProbeReply{}), nil
 }
 
-// Gather delegates a query to a daemon, which cancels it when the context ends. The
-// error wraps ErrGathererLost if the daemon has accepted the query, and is a
-// DeclinedError if it has declined it. After any other error the daemon is not known
-// to have done either.
-func (c *Client) Gather(ctx context.Context, address hysmember.Address, d hysingress.Delegation) (hysingress.DelegationResult, error) {
+// Gather delegates a query to a daemon, which cancels it when the context ends. patience
+// is how much longer than a near daemon it may take to accept the query. The error wraps
+// ErrGathererLost if the daemon has accepted the query, and is a DeclinedError if it has
+// declined it, or a SearchersLostError if it has given it up. After any other error the
+// daemon is not known to have done either.
+func (c *Client) Gather(ctx context.Context, address hysmember.Address, d hysingress.Delegation, patience time.Duration) (hysingress.DelegationResult, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := time.Now()
-	acceptTimer := time.AfterFunc(c.acceptTimeout, func() { cancel(ErrUnresponsive) })
+	acceptTimer := time.AfterFunc(c.acceptTimeout+patience, func() { cancel(ErrUnresponsive) })
 	defer acceptTimer.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
 	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d)))
@@ -94,11 +100,14 @@
 		}
 	}
 	acceptTimer.Stop()
-	probeTimer := scheduleProbe(ctx, service, d, time.Since(began), cancel)
-	defer probeTimer.Stop()
+	p := &prober{service: service, start: d.Start, goal: d.Goal, acceptTime: time.Since(began), patience: patience, cancel: cancel}
+	go p.run(ctx)
 	if !stream.Receive() {
 		return hysingress.DelegationResult{}, fmt.Errorf("%w: %w", hysingress.ErrGathererLost, gatherError(ctx, stream.Err()))
 	}
+	if last := stream.Msg(); last.SearchersLost {
+		return hysingress.DelegationResult{}, &hysingress.SearchersLostError{NotRun: last.NotRun}
+	}
 	answer := decodeDelegationResult(stream.Msg())
 	if !valid(answer) {
 		return hysingress.DelegationResult{}, fmt.Errorf("Client.Gather: status %d, outcome %d: %w: %w",
@@ -107,20 +116,43 @@
 	return answer, nil
 }
 
-// scheduleProbe schedules a probe of a gatherer that has not answered after a share
-// of the query's goal, and returns the timer. If the probe is not answered either,
-// it cancels the call with ErrUnresponsive: a machine that has lost its power sends
-// nothing more. acceptTime is how long the acceptance took.
-func scheduleProbe(ctx context.Context, service frontconnect.FrontServiceClient, d hysingress.Delegation, acceptTime time.Duration, cancel context.CancelCauseFunc) *time.Timer {
-	wait := time.Duration(probeGoalShare*float64(d.Goal)) - time.Since(d.Start)
-	timeout := max(minProbeTimeout, time.Duration(probeTimeoutShare*float64(d.Goal)), probeAcceptFactor*acceptTime)
-	return time.AfterFunc(max(wait, minProbeTimeout), func() {
+// prober finds out whether a daemon that has accepted work still responds: a machine
+// that has lost its power sends nothing more.
+type prober struct {
+	service frontconnect.FrontServiceClient
+	// start and goal are those of the request; the daemon is probed after each share of
+	// the goal.
+	start time.Time
+	goal  time.Duration
+	// acceptTime is how long the acceptance took, and patience how much longer than for
+	// a near daemon it might have taken.
+	acceptTime time.Duration
+	patience   time.Duration
+	// cancel cancels the call with ErrUnresponsive if a probe is not answered.
+	cancel context.CancelCauseFunc
+}
+
+// run probes the daemon until the context ends.
+func (p *prober) run(ctx context.Context) {
+	interval := max(time.Duration(probeGoalShare*float64(p.goal)), minProbeTimeout)
+	timeout := max(minProbeTimeout, time.Duration(probeTimeoutShare*float64(p.goal)), probeAcceptFactor*p.acceptTime, probePatienceFactor*p.patience)
+	timer := time.NewTimer(max(interval-time.Since(p.start), minProbeTimeout))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
 		probeCtx, stop := context.WithTimeout(ctx, timeout)
-		defer stop()
-		if _, err := service.Probe(probeCtx, connect.NewRequest(&front.ProbeRequest{})); err != nil {
-			cancel(ErrUnresponsive)
+		_, err := p.service.Probe(probeCtx, connect.NewRequest(&front.ProbeRequest{}))
+		stop()
+		if err != nil {
+			p.cancel(ErrUnresponsive)
+			return
 		}
-	})
+		timer.Reset(interval)
+	}
 }
 
 // gatherError returns why a gatherer has not answered.
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	http.Serve(listener, hysrelay.NewHandler(follow, gather, permits))
+//	http.Serve(listener, hysrelay.NewHandler(follow, gather, run, permits))
 //	c := hysrelay.NewClient()
 //	reply, err := c.Follow(ctx, "10.1.0.4:7740", hysrelay.FollowRequest{Since: cursor, Wait: time.Second})
 //	cursor = reply.Cursor
@@ -36,6 +36,9 @@
 	// callTimeout is how much longer a call may take than the wait that it requests.
 	callTimeout = 400 * time.Millisecond
 	idleTimeout = 10 * time.Second
+	// maxIdle bounds the idle connections to one daemon. One that runs what this daemon
+	// can't has many calls at the same time.
+	maxIdle = 32
 	// maxWait bounds how long a daemon waits for updates before it answers.
 	maxWait = 2 * time.Second
 )
@@ -89,15 +92,16 @@
 type server struct {
 	follow  FollowFunc
 	gather  GatherFunc
+	run     RunFunc
 	permits PermitsFunc
 }
 
 // NewHandler returns a handler of the calls of other daemons: follow answers
-// requests for updates, gather answers delegated queries, permits answers requests
-// for permits.
-func NewHandler(follow FollowFunc, gather GatherFunc, permits PermitsFunc) http.Handler {
+// requests for updates, gather answers delegated queries, run runs sub-requests, permits
+// answers requests for permits.
+func NewHandler(follow FollowFunc, gather GatherFunc, run RunFunc, permits PermitsFunc) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(frontconnect.NewFrontServiceHandler(&server{follow: follow, gather: gather, permits: permits}, connect.WithReadMaxBytes(maxRequestBytes)))
+	mux.Handle(frontconnect.NewFrontServiceHandler(&server{follow: follow, gather: gather, run: run, permits: permits}, connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
@@ -129,7 +133,7 @@
 // NewClient returns a client without connections.
 func NewClient(options ...Option) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{DialContext: d.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdle}
 	c := &Client{http: &http.Client{Transport: transport}, acceptTimeout: defaultAcceptTimeout}
 	for _, o := range options {
 		o(c)
