--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysqueue"
@@ -20,6 +18,8 @@
 	results    chan outcome
 	sends      []*send
 	running    int
+	// lost is closed when no searcher of the service is in reach any more.
+	lost <-chan struct{}
 	// mayHaveRun is true once a searcher may have run the sub-request.
 	mayHaveRun bool
 	// notRun counts the sends that searchers have not run and never will.
@@ -49,8 +49,8 @@
 	c.enqueue(sendCtx)
 	hedge := c.hedgeTimer()
 	defer hedge.Stop()
-	reply := c.await(ctx, sendCtx, hedge)
-	if reply.Status != hysquery.ShardAnswered && errors.Is(context.Cause(ctx), ErrUnreachable) {
+	reply, lost := c.await(ctx, sendCtx, hedge)
+	if lost {
 		reply = c.unreachableReply(cancel)
 	}
 	c.dequeue()
@@ -60,22 +60,24 @@
 }
 
 // await waits for sends to end, starts hedges and retries, and returns the final
-// reply.
-func (c *call) await(ctx, sendCtx context.Context, hedge *time.Timer) SubReply {
+// reply. It returns true instead if the searchers of the service were lost meanwhile.
+func (c *call) await(ctx, sendCtx context.Context, hedge *time.Timer) (SubReply, bool) {
 	for c.running > 0 {
 		select {
 		case <-ctx.Done():
-			return c.timeoutReply()
+			return c.timeoutReply(), false
+		case <-c.lost:
+			return SubReply{}, true
 		case <-hedge.C:
 			hedge.Reset(c.checkHedge(sendCtx))
 		case o := <-c.results:
 			c.running--
 			if reply, done := c.resolve(ctx, sendCtx, o); done {
-				return reply
+				return reply, false
 			}
 		}
 	}
-	return c.failureReply()
+	return c.failureReply(), false
 }
 
 // enqueue queues the first send.
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -213,7 +213,11 @@
 	ctx, cancel := context.WithDeadline(ctx, sub.Deadline)
 	defer cancel()
 	t := d.table(sub.Service)
-	c := &call{dispatcher: d, table: t, sub: sub, results: make(chan outcome, sub.maxRuns()+maxNotRun)}
+	lost, isLost := t.lostSignal()
+	if isLost {
+		return UnreachableReply(sub)
+	}
+	c := &call{dispatcher: d, table: t, sub: sub, lost: lost, results: make(chan outcome, sub.maxRuns()+maxNotRun)}
 	if reply, refused := c.refusal(); refused {
 		return reply
 	}
--- a/core/hysdispatch/reach.go
+++ b/core/hysdispatch/reach.go
@@ -11,9 +11,8 @@
 	"hyssopshore/core/hysservice"
 )
 
-// ErrUnreachable is the cause for cancelling a context whose sub-request can't be
-// answered, because this instance reaches no searcher of its service any more. The
-// sends are cancelled at once, and the reply says whether the sub-request may have run.
+// ErrUnreachable means that this instance reaches no searcher of a service. It is the
+// cause for cancelling sends that are running when that is found out.
 const ErrUnreachable = errors.ConstError("no searcher of the service is in reach")
 
 // unreachableRetryAfter is when to retry at a shard whose searchers are out of reach.
@@ -40,6 +39,36 @@
 	return reply
 }
 
+// Lose ends the sub-requests of a service at once, and all further ones, because this
+// instance reaches no searcher of it. Their replies say whether they may have run.
+func (d *Dispatcher) Lose(service hysservice.Name) {
+	t := d.table(service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isLost {
+		t.isLost = true
+		close(t.lost)
+	}
+}
+
+// Regain ends Lose.
+func (d *Dispatcher) Regain(service hysservice.Name) {
+	t := d.table(service)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isLost {
+		t.isLost, t.lost = false, make(chan struct{})
+	}
+}
+
+// lostSignal returns a channel that is closed when the service is lost, and whether it
+// is.
+func (t *table) lostSignal() (<-chan struct{}, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost, t.isLost
+}
+
 // unreachableReply cancels the sends and returns the final reply.
 func (c *call) unreachableReply(cancel context.CancelCauseFunc) SubReply {
 	c.removeQueued()
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -48,6 +48,10 @@
 	replicas       map[hysmember.SearcherID]*replica
 	// hasLimits is set while a replica may have a rate limit, or one to report lifted.
 	hasLimits atomic.Bool
+	// isLost is set while no searcher of the service is in reach. lost is closed then,
+	// and replaced afterwards.
+	isLost bool
+	lost   chan struct{}
 	// pushbacks are kept when their replicas are removed.
 	pushbacks pushbacks
 }
@@ -95,7 +99,7 @@
 func newTable(d *Dispatcher, budget *hysbudget.Budget) *table {
 	return &table{
 		now: d.now, send: d.send, queueOptions: d.queueOptions, budget: budget, groupLatencies: d.groupLatencies, connected: d.connected, reachable: d.reachable, backlog: d.backlog, workers: d.workers, onLimit: d.onLimit, needPermits: d.needPermits, hasPermits: d.hasPermits, instanceCount: d.instanceCount,
-		shards:   make(map[shardKey]*shard),
+		shards: make(map[shardKey]*shard), lost: make(chan struct{}),
 		replicas: make(map[hysmember.SearcherID]*replica), pushbacks: make(pushbacks),
 	}
 }
--- a/core/hysreach/round.go
+++ b/core/hysreach/round.go
@@ -33,11 +33,8 @@
 	if t.failure != EvidenceNone {
 		return t.failure
 	}
-	quietSince := t.lastHeard
-	if t.busySince.After(quietSince) {
-		quietSince = t.busySince
-	}
-	if t.running > 0 && now.Sub(quietSince) >= stallTime {
+	quietSince := t.started.Add(time.Duration(max(t.lastHeard.Load(), t.busySince.Load())))
+	if t.running.Load() > 0 && now.Sub(quietSince) >= stallTime {
 		return EvidenceStalled
 	}
 	return EvidenceNone
@@ -86,7 +83,7 @@
 	if len(r.pending) > 0 {
 		return nil
 	}
-	heard := t.lastHeard.After(r.began)
+	heard := t.at(&t.lastHeard).After(r.began)
 	suspended := now.Sub(r.began) > 2*ProbeTimeout
 	if heard || suspended {
 		t.clearRound(now)
@@ -119,7 +116,7 @@
 		s.service.unreachable++
 		t.unreachable[s] = true
 	}
-	t.allReachable.Store(false)
+	t.updateFlags()
 	changes := Changes{t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})}
 	return append(changes, t.compareServices(before, Change{Evidence: r.evidence})...)
 }
--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -124,7 +124,7 @@
 func (t *Tracker) Busy() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.running > 0 || len(t.unreachable) > 0 || len(t.schedule.suspects) > 0 || t.round != nil
+	return t.running.Load() > 0 || len(t.unreachable) > 0 || len(t.schedule.suspects) > 0 || t.round != nil
 }
 
 // NextProbes returns the searchers to probe now, and what has changed because time has
@@ -151,7 +151,7 @@
 		of.probedAt = now
 		count := 0
 		for _, s := range of.searchers {
-			if s.probing || s.unreachable() || s.heardAt.After(of.suspectedAt) || count >= maxSuspects {
+			if s.probing || s.unreachable() || t.at(&s.heardAt).After(of.suspectedAt) || count >= maxSuspects {
 				continue
 			}
 			count++
--- a/core/hysreach/searcher.go
+++ b/core/hysreach/searcher.go
@@ -1,6 +1,7 @@
 package hysreach
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hyssopshore/core/hysmember"
@@ -22,7 +23,8 @@
 type searcher struct {
 	Target
 	service *service
-	heardAt time.Time
+	// heardAt is when the searcher last gave a sign of life, on the tracker's clock.
+	heardAt atomic.Int64
 	// unreachableSince is zero while the searcher counts as reachable.
 	unreachableSince time.Time
 	evidence         Evidence
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -59,6 +59,18 @@
 // Tracker tracks which searchers are in reach. It is safe for concurrent use.
 type Tracker struct {
 	now func() time.Time
+	// started is the origin of the times that are kept as durations.
+	started time.Time
+
+	// What follows changes with each send, so it is not guarded by mu: the searchers by
+	// their ids, when anything was last heard from any of them, the number of sends in
+	// flight and since when there are any. calm is set while a sign of life changes
+	// nothing else.
+	index     atomic.Pointer[map[hysmember.SearcherID]*searcher]
+	lastHeard atomic.Int64
+	running   atomic.Int64
+	busySince atomic.Int64
+	calm      atomic.Bool
 
 	mu        sync.Mutex
 	searchers map[hysmember.SearcherID]*searcher
@@ -67,11 +79,6 @@
 	unreachable map[*searcher]bool
 	// allReachable is set while there are none, so that nothing is locked then.
 	allReachable atomic.Bool
-	// lastHeard is when anything was last heard from any searcher.
-	lastHeard time.Time
-	// running is the number of sends in flight, busySince since when there are any.
-	running   int
-	busySince time.Time
 	// failure is the last evidence since which nothing was heard, from any searcher.
 	failure Evidence
 	round   *round
@@ -97,13 +104,29 @@
 // NewTracker returns a tracker without searchers.
 func NewTracker(now func() time.Time) *Tracker {
 	t := &Tracker{
-		now: now, searchers: make(map[hysmember.SearcherID]*searcher), services: make(map[hysservice.Name]*service),
-		unreachable: make(map[*searcher]bool), lastHeard: now(),
+		now: now, started: now(), searchers: make(map[hysmember.SearcherID]*searcher),
+		services: make(map[hysservice.Name]*service), unreachable: make(map[*searcher]bool),
 	}
-	t.allReachable.Store(true)
+	t.index.Store(&t.searchers)
+	t.updateFlags()
 	return t
 }
 
+// clock returns the time now as the time since the start.
+func (t *Tracker) clock() int64 { return int64(t.now().Sub(t.started)) }
+
+// at returns the time that a clock shows.
+func (t *Tracker) at(clock *atomic.Int64) time.Time {
+	return t.started.Add(time.Duration(clock.Load()))
+}
+
+// updateFlags updates the flags that are read without mu. The caller holds it.
+func (t *Tracker) updateFlags() {
+	all := len(t.unreachable) == 0 && t.partitionedSince.IsZero()
+	t.allReachable.Store(all)
+	t.calm.Store(all && t.failure == EvidenceNone)
+}
+
 // SetSearchers replaces the searchers; those that are leaving are not tracked. A
 // searcher that is new or has started anew counts as reachable, unless this instance is
 // cut off from all.
@@ -111,8 +134,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	lostBefore := t.lostServices()
-	known := t.searchers
-	t.searchers, t.services = make(map[hysmember.SearcherID]*searcher, len(targets)), make(map[hysservice.Name]*service)
+	known, next := t.searchers, make(map[hysmember.SearcherID]*searcher, len(targets))
+	t.searchers, t.services = next, make(map[hysservice.Name]*service)
 	clear(t.unreachable)
 	for _, target := range targets {
 		if target.Searcher.Leaving {
@@ -133,8 +156,9 @@
 			return cmp.Or(cmp.Compare(a.Distance, b.Distance), cmp.Compare(a.Searcher.ID, b.Searcher.ID))
 		})
 	}
+	t.index.Store(&next)
 	t.schedule.reset()
-	t.allReachable.Store(len(t.unreachable) == 0 && t.partitionedSince.IsZero())
+	t.updateFlags()
 	return append(t.compareServices(lostBefore, Change{}), t.endPartition(t.now())...)
 }
 
@@ -173,7 +197,7 @@
 }
 
 // compareServices returns the services that were lost or regained, where before holds
-// those that were lost.
+// those that were lost. One that has no searchers any more is not lost.
 func (t *Tracker) compareServices(before map[hysservice.Name]time.Time, cause Change) Changes {
 	now := t.now()
 	var changes Changes
@@ -193,12 +217,19 @@
 			changes = append(changes, t.change(c))
 		}
 	}
+	for name, since := range before {
+		if _, listed := t.services[name]; !listed {
+			c := cause
+			c.Service, c.Kind, c.Lasted = name, ChangeServiceRegained, now.Sub(since)
+			changes = append(changes, t.change(c))
+		}
+	}
 	return changes
 }
 
 // change completes a change with the state of the tracker.
 func (t *Tracker) change(c Change) Change {
-	c.SilentFor = t.now().Sub(t.lastHeard)
+	c.SilentFor = t.now().Sub(t.at(&t.lastHeard))
 	c.Unreachable, c.Searchers = len(t.unreachable), len(t.searchers)
 	c.Partitioned = c.Partitioned || !t.partitionedSince.IsZero()
 	return c
@@ -207,26 +238,30 @@
 // SendStarted records that a send is in flight, and reports whether there was none
 // before.
 func (t *Tracker) SendStarted() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.running++
-	if t.running > 1 {
+	if t.running.Add(1) > 1 {
 		return false
 	}
-	t.busySince = t.now()
+	t.busySince.Store(t.clock())
 	return true
 }
 
 // SendEnded records the end of a send.
-func (t *Tracker) SendEnded() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.running--
-}
+func (t *Tracker) SendEnded() { t.running.Add(-1) }
 
 // Heard records a sign of life of a searcher: a response, or a connection that was
 // established for a send.
-func (t *Tracker) Heard(id hysmember.SearcherID) Changes { return t.heard(id, false) }
+func (t *Tracker) Heard(id hysmember.SearcherID) Changes {
+	now := t.clock()
+	t.lastHeard.Store(now)
+	s, ok := (*t.index.Load())[id]
+	if ok {
+		s.heardAt.Store(now)
+	}
+	if t.calm.Load() {
+		return nil
+	}
+	return t.heard(id, false)
+}
 
 // Reached records that a probe has reached a searcher.
 func (t *Tracker) Reached(id hysmember.SearcherID) Changes { return t.heard(id, true) }
@@ -235,12 +270,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	t.lastHeard, t.failure = now, EvidenceNone
+	t.lastHeard.Store(t.clock())
+	t.failure = EvidenceNone
+	t.updateFlags()
 	s, ok := t.searchers[id]
 	if !ok {
 		return nil
 	}
-	s.heardAt = now
+	s.heardAt.Store(t.clock())
 	if byProbe {
 		s.probing = false
 		t.endRoundProbe(id)
@@ -279,7 +316,7 @@
 	t.reachableFrom, t.holdTime = time.Time{}, 0
 	var changes Changes
 	for s := range t.unreachable {
-		if !s.heardAt.Before(from) {
+		if !t.at(&s.heardAt).Before(from) {
 			changes = append(changes, t.regain(s, now)...)
 		}
 	}
@@ -292,7 +329,7 @@
 	s.unreachableSince, s.evidence, s.probeInterval = time.Time{}, EvidenceNone, 0
 	s.service.unreachable--
 	delete(t.unreachable, s)
-	t.allReachable.Store(len(t.unreachable) == 0 && t.partitionedSince.IsZero())
+	t.updateFlags()
 	of := Change{Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since)}
 	of.Kind = ChangeSearcherRegained
 	changes := Changes{t.change(of)}
@@ -321,7 +358,7 @@
 	before := t.lostServices()
 	lasted := now.Sub(t.partitionedSince)
 	t.partitionedSince, t.rejoiningSince, t.rejoinedAt = time.Time{}, time.Time{}, now
-	t.allReachable.Store(len(t.unreachable) == 0)
+	t.updateFlags()
 	changes := Changes{t.change(Change{Kind: ChangeRejoined, Lasted: lasted})}
 	return append(changes, t.compareServices(before, Change{Partitioned: true})...)
 }
@@ -332,11 +369,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.searchers[id]
-	if !ok || s.heardAt.After(began) {
+	if !ok || t.at(&s.heardAt).After(began) {
 		return
 	}
-	if t.lastHeard.Before(began) {
+	if t.at(&t.lastHeard).Before(began) {
 		t.failure = e
+		t.updateFlags()
 	}
 	s.service.suspectedAt = t.now()
 	t.schedule.suspect(s.service)
@@ -359,7 +397,7 @@
 	if t.provesUnreachable(s, began, now, e) {
 		changes = t.lose(s, now, e)
 	}
-	if !t.reachableFrom.IsZero() && !s.heardAt.Before(t.reachableFrom) {
+	if !t.reachableFrom.IsZero() && !t.at(&s.heardAt).Before(t.reachableFrom) {
 		// It was reached during the hold time, and is not any more.
 		t.reachableFrom = time.Time{}
 	}
@@ -370,7 +408,7 @@
 // reach. A probe that took much longer than its timeout says more about this process,
 // which may have been suspended.
 func (t *Tracker) provesUnreachable(s *searcher, began, now time.Time, e Evidence) bool {
-	return !s.heardAt.After(began) && now.Sub(began) <= 2*ProbeTimeout && e != EvidenceRefusedInUse
+	return !t.at(&s.heardAt).After(began) && now.Sub(began) <= 2*ProbeTimeout && e != EvidenceRefusedInUse
 }
 
 // lose marks a searcher as out of reach.
@@ -383,7 +421,7 @@
 	s.unreachableSince = now
 	s.service.unreachable++
 	t.unreachable[s] = true
-	t.allReachable.Store(false)
+	t.updateFlags()
 	if len(t.unreachable) == len(t.searchers) {
 		t.rejoiningSince = time.Time{}
 	}
@@ -445,6 +483,6 @@
 	defer t.mu.Unlock()
 	return Status{
 		Searchers: len(t.searchers), Unreachable: len(t.unreachable), LostServices: len(t.lostServices()),
-		Partitioned: !t.partitionedSince.IsZero(), SilentFor: t.now().Sub(t.lastHeard),
+		Partitioned: !t.partitionedSince.IsZero(), SilentFor: t.now().Sub(t.at(&t.lastHeard)),
 	}
 }
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -123,10 +123,8 @@
 	// other daemons' queries that are in flight here.
 	gathererSet atomic.Pointer[gathererSet]
 	delegates   *hysgather.Delegates
-	// relays picks the daemon that runs what this one can't. inFlight holds the
-	// sub-requests that end when their searchers are lost.
+	// relays picks the daemon that runs what this one can't.
 	relays          *hysgather.Relays
-	inFlight        inFlight
 	delegatedShards atomic.Int64
 
 	// Lock order: configureMu, then mu, then the dispatcher's locks, then budgetMu.
@@ -193,7 +191,6 @@
 
 		delegates: hysgather.NewDelegates(time.Now),
 		relays:    hysgather.NewRelays(time.Now),
-		inFlight:  inFlight{all: make(map[hysservice.Name]map[uint64]context.CancelCauseFunc)},
 		suspects:  hysquarantine.NewTracker(time.Now),
 
 		reach: hysreach.NewTracker(time.Now), checkReach: make(chan struct{}, 1),
@@ -217,7 +214,7 @@
 		hysdispatch.WithPermits(func() { f.permits.Need() }, func() int { return int(f.peakInstances.Load()) }))
 	f.permits = f.newPermits()
 	f.ingress = &hysingress.Ingress{
-		Headers: headers, State: f.awaitConfiguration, Submit: f.submitHere, Admit: f.dispatcher.Admit,
+		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
 		Relay: f.relay, Lost: f.reach.Lost,
 		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections,
 	}
--- a/io/hysfront/reach.go
+++ b/io/hysfront/reach.go
@@ -98,7 +98,9 @@
 	for _, c := range changes {
 		switch c.Kind {
 		case hysreach.ChangeServiceLost:
-			f.inFlight.cancel(c.Service, hysdispatch.ErrUnreachable)
+			f.dispatcher.Lose(c.Service)
+		case hysreach.ChangeServiceRegained:
+			f.dispatcher.Regain(c.Service)
 		case hysreach.ChangeSearcherRegained:
 			f.dispatcher.Recover(c.Service, c.Searcher)
 		}
--- a/io/hysfront/relaying.go
+++ b/io/hysfront/relaying.go
@@ -38,53 +38,6 @@
 	errSuspicious = &hysingress.DeclinedError{Reason: "it is not known whether any searcher is in reach", RetryAfter: 200 * time.Millisecond}
 )
 
-// submitHere runs a sub-request at the searchers that this daemon reaches. If it loses
-// all of them the sub-request ends at once.
-func (f *Front) submitHere(ctx context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer f.inFlight.add(sub.Service, cancel)()
-	if f.reach.Lost(sub.Service) {
-		return hysdispatch.UnreachableReply(sub)
-	}
-	return f.dispatcher.Submit(ctx, sub)
-}
-
-// inFlight holds the sub-requests in flight by service, to end them when their searchers
-// are lost. It is safe for concurrent use.
-type inFlight struct {
-	mu   sync.Mutex
-	next uint64
-	all  map[hysservice.Name]map[uint64]context.CancelCauseFunc
-}
-
-// add adds a sub-request and returns a function that removes it.
-func (i *inFlight) add(service hysservice.Name, cancel context.CancelCauseFunc) (remove func()) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.next++
-	id := i.next
-	if i.all[service] == nil {
-		i.all[service] = make(map[uint64]context.CancelCauseFunc)
-	}
-	i.all[service][id] = cancel
-	return func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		delete(i.all[service], id)
-	}
-}
-
-// cancel ends the sub-requests of a service, and returns their number.
-func (i *inFlight) cancel(service hysservice.Name, cause error) int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, cancel := range i.all[service] {
-		cancel(cause)
-	}
-	return len(i.all[service])
-}
-
 // relay returns a function that runs the sub-requests of one request here, or at another
 // daemon if no searcher of their service is in reach here.
 func (f *Front) relay(shards []hysservice.Name, delegable bool) hysgather.SubmitFunc {
@@ -93,7 +46,7 @@
 		b.window = batchWindow
 	}
 	return func(ctx context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
-		reply := f.submitHere(ctx, sub)
+		reply := f.dispatcher.Submit(ctx, sub)
 		if !reply.Unreachable || ctx.Err() != nil || delegable && f.mostlyLost(shards) {
 			return reply
 		}
@@ -278,7 +231,7 @@
 	for i, sub := range subs {
 		go func() {
 			defer f.delegatedShards.Add(-1)
-			results <- hysrelay.RunResult{Index: i, Reply: f.submitHere(ctx, sub)}
+			results <- hysrelay.RunResult{Index: i, Reply: f.dispatcher.Submit(ctx, sub)}
 		}()
 	}
 	return results, nil
