Ask a daemon that backs off when nobody else is left

A daemon that stops declines for 10 s, and is back after three; with one restart each 2 s all were left out.

A relay is left out for 3 s at most, and when all are, one is asked each 250 ms in spite of it.

--- a/core/hysgather/relays.go
+++ b/core/hysgather/relays.go
@@ -26,6 +26,8 @@
 	// tiers are the other instances, the nearest first.
 	tiers    []relayTier
 	backoffs map[relayKey]relayBackoff
+	// lastResortAt is when an instance was last picked in spite of its backoff.
+	lastResortAt time.Time
 }
 
 // relayBackoff is the backoff of an instance, and how long it is.
@@ -96,7 +98,9 @@
 }
 
 // Pick returns the instance to which sub-requests of a service go, or whole queries
-// without one. Those in excluded were asked already. It returns false if there is none.
+// without one. Those in excluded were asked already. If all others back off, one of them
+// is picked now and then: it may have been restarted, or have its searchers again. Pick
+// returns false if there is none.
 func (r *Relays) Pick(service hysservice.Name, excluded hysmember.Instances) (hysmember.Instance, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,6 +109,25 @@
 			return i, true
 		}
 	}
+	return r.lastResort(excluded)
+}
+
+// lastResort returns any instance that was not asked, at most one each minRelayBackoff.
+func (r *Relays) lastResort(excluded hysmember.Instances) (hysmember.Instance, bool) {
+	now := r.now()
+	if now.Sub(r.lastResortAt) < minRelayBackoff {
+		return hysmember.Instance{}, false
+	}
+	var all hysmember.Instances
+	for _, t := range r.tiers {
+		all = append(all, t.instances...)
+	}
+	for _, n := range rand.Perm(len(all)) {
+		if !excluded.Contains(all[n].ID) {
+			r.lastResortAt = now
+			return all[n], true
+		}
+	}
 	return hysmember.Instance{}, false
 }
 
@@ -142,12 +165,7 @@
 }
 
 func (r *Relays) available(i hysmember.Instance, service hysservice.Name, excluded hysmember.Instances) bool {
-	for _, e := range excluded {
-		if e.ID == i.ID {
-			return false
-		}
-	}
-	return !r.backingOff(relayKey{instance: i.ID}) && !r.backingOff(relayKey{instance: i.ID, service: service})
+	return !excluded.Contains(i.ID) && !r.backingOff(relayKey{instance: i.ID}) && !r.backingOff(relayKey{instance: i.ID, service: service})
 }
 
 func (r *Relays) backingOff(key relayKey) bool {
@@ -176,7 +194,7 @@
 		// Several were in flight.
 		return
 	}
-	span := min(max(2*r.backoffs[key].span, minRelayBackoff, retryAfter), max(maxRelayBackoff, min(retryAfter, maxDeclinedBackoff)))
+	span := min(max(2*r.backoffs[key].span, minRelayBackoff, retryAfter), maxRelayBackoff)
 	r.expire()
 	r.backoffs[key] = relayBackoff{until: r.now().Add(span), span: span}
 }
--- a/core/hysmember/gatherer.go
+++ b/core/hysmember/gatherer.go
@@ -46,7 +46,7 @@
 
 // Includes reports whether an instance gathers queries itself.
 func (g Gatherers) Includes(id InstanceID) bool {
-	return slices.ContainsFunc(g.First, func(i Instance) bool { return i.ID == id })
+	return g.First.Contains(id)
 }
 
 // Gatherers returns the gatherers of a region; searchers is how many searchers
--- a/core/hysmember/member.go
+++ b/core/hysmember/member.go
@@ -13,6 +13,8 @@
 package hysmember
 
 import (
+	"slices"
+
 	"hyssopshore/core/hysservice"
 )
 
@@ -67,6 +69,11 @@
 	Searchers Searchers `json:"searchers"`
 }
 
+// Contains reports whether an instance is in the list.
+func (m Instances) Contains(id InstanceID) bool {
+	return slices.ContainsFunc(m, func(i Instance) bool { return i.ID == id })
+}
+
 // Live returns the instances that are not leaving.
 func (m Instances) Live() Instances {
 	live := make(Instances, 0, len(m))
