Find lost searchers on the project's own path, too

The gatherer asks the next dispatcher only once the first one says that it has not run the shard, and that one did not know.

The same cause as on the frontend daemon, and the same mechanism: io/hysprobe runs the probes of core/hysreach for both. A dispatcher that has lost its searchers says so at once ('unreachable' in the peer protocol), and the gatherer goes on to the next one, within the retry budget if the shard may have run. A refused connection is no crash if the service turns out to be out of reach.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -95,6 +95,9 @@
 	if !ok || !s.hasReplica() {
 		return notRunReply(c.sub, hysquery.ShardUnavailable, "no searcher holds the shard", unavailableRetryAfter), true
 	}
+	if !s.reachable() {
+		return UnreachableReply(c.sub), true
+	}
 	if !c.dispatcher.admit {
 		return SubReply{}, false
 	}
@@ -164,6 +167,13 @@
 	return slices.ContainsFunc(s.replicas, func(r *replica) bool { return r.state() != stateLeaving })
 }
 
+// reachable reports whether a searcher that is not leaving is in reach.
+func (s *shard) reachable() bool {
+	return slices.ContainsFunc(s.replicas, func(r *replica) bool {
+		return r.state() != stateLeaving && r.reachable(r.Searcher.ID)
+	})
+}
+
 // backoff is how long no searcher of the shard may be sent to, because each of them
 // has asked for a pause or is backing off after a failure. It is 0 if one may be sent
 // to now.
--- a/core/hysgather/fanout.go
+++ b/core/hysgather/fanout.go
@@ -301,7 +301,7 @@
 // handleReplies applies the replies to a send. The first answer of each shard
 // counts.
 func (f *fanOut) handleReplies(ctx context.Context, ps *partSend, replies []hysdispatch.SubReply) {
-	var unavailable, overloaded []*shard
+	var unavailable, unreachable, overloaded []*shard
 	for i, s := range ps.shards {
 		s.inFlight--
 		reply := replies[i]
@@ -319,11 +319,18 @@
 		if reply.Status == hysquery.ShardUnavailable && reply.NotRun {
 			unavailable = append(unavailable, s)
 		}
+		if reply.Unreachable && !reply.NotRun {
+			// The dispatcher lost the searchers while they may have run the shard.
+			unreachable = append(unreachable, s)
+		}
 		if reply.Status == hysquery.ShardOverloaded && reply.NotRun {
 			overloaded = append(overloaded, s)
 		}
 	}
 	f.sendToNext(ctx, unavailable)
+	if len(unreachable) > 0 {
+		f.resend(ctx, unreachable)
+	}
 	f.postpone(ctx, overloaded)
 }
 
--- a/io/hysdaemon/daemon.go
+++ b/io/hysdaemon/daemon.go
@@ -22,6 +22,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysqueue"
+	"hyssopshore/core/hysreach"
 	"hyssopshore/io/hysclaims"
 	"hyssopshore/io/hysconfig"
 	"hyssopshore/io/hysentry"
@@ -31,6 +32,7 @@
 	"hyssopshore/io/hysoperator"
 	"hyssopshore/io/hyspeer"
 	"hyssopshore/io/hyspermit"
+	"hyssopshore/io/hysprobe"
 	"hyssopshore/io/hyssearch"
 	"hyssopshore/io/hyssettings"
 	"hyssopshore/io/hysstore"
@@ -51,13 +53,17 @@
 	drainingSearchers *hysmember.Infos
 	searchers         *hyssearch.Client
 	dispatcher        *hysdispatch.Dispatcher
-	gatherer          *hysgather.Gatherer
-	registry          *hysquarantine.Registry
-	evidenceSyncer    *hysevidence.Syncer
-	exchanger         *hyspeer.Exchanger
-	entry             *hysentry.Entry
-	claims            *hysclaims.Claims
-	metrics           *hysmetrics.Metrics
+	// prober finds out which searchers this instance can reach. targets are those that
+	// it was last given.
+	prober         *hysprobe.Prober
+	targets        hysreach.Targets
+	gatherer       *hysgather.Gatherer
+	registry       *hysquarantine.Registry
+	evidenceSyncer *hysevidence.Syncer
+	exchanger      *hyspeer.Exchanger
+	entry          *hysentry.Entry
+	claims         *hysclaims.Claims
+	metrics        *hysmetrics.Metrics
 	// storeRead is when a read of the store last succeeded, in Unix nanoseconds.
 	storeRead atomic.Int64
 	// permits obtains permits of the searchers' rate limits, and hands them out.
@@ -96,12 +102,16 @@
 // initDispatch creates the components that send requests to the searchers, from
 // the gatherer to the client.
 func (d *Daemon) initDispatch() {
-	d.searchers = hyssearch.New(hyssearch.WithConnectionCap(d.settings.ConnectionCap))
+	d.prober = hysprobe.New(d.log)
+	d.searchers = hyssearch.New(hyssearch.WithConnectionCap(d.settings.ConnectionCap), hyssearch.WithObserver(d.prober.Observer()))
+	d.prober.Probe, d.prober.Evidence = d.searchers.Probe, d.searchers.Evidence
 	proven := hysquarantine.NewProvenCache()
 	gate := hysquarantine.NewGate(d.registry, proven, d.sendToSearcher, d.crashed, d.incarnation)
 	options := append(dispatchOptions(d.settings.Baseline), hysdispatch.WithLimitFunc(hyspermit.LogLimits(d.log)),
 		hysdispatch.WithPermits(func() { d.permits.Need() }, func() int { return int(d.limitSharers.Load()) }))
+	options = append(options, hysdispatch.WithReach(d.prober.Tracker.Reachable))
 	d.dispatcher = hysdispatch.New(gate.Send, options...)
+	d.prober.Dispatcher = d.dispatcher
 	d.gatherer = hysgather.New(d.view.Snapshot, d.dispatchers, d.sendPart,
 		hysgather.WithCanary(&hysgather.Canary{Registry: d.registry, Proven: proven}))
 }
@@ -267,6 +277,7 @@
 	wait.Go(func() { d.updateReplicas(ctx) })
 	wait.Go(func() { d.exchanger.Run(ctx) })
 	wait.Go(func() { d.dispatcher.Run(ctx) })
+	wait.Go(func() { d.prober.Run(ctx) })
 	wait.Go(func() { d.permits.Run(ctx) })
 	wait.Go(func() { d.evidenceSyncer.Run(ctx) })
 	return &wait
--- a/io/hysdaemon/leaving.go
+++ b/io/hysdaemon/leaving.go
@@ -14,7 +14,9 @@
 	// The mark is applied to the incarnation that was known when the sub-request
 	// was sent, so that a late reply can't mark a later incarnation.
 	info, known := d.view.Info(s.ID)
+	d.prober.SendStarted()
 	result := d.searchers.Send(ctx, s, sub)
+	d.prober.SendEnded()
 	if known && (result.Draining || result.Fault == hysdispatch.FaultDraining) {
 		d.markDraining(info)
 	}
--- a/io/hysdaemon/loops.go
+++ b/io/hysdaemon/loops.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hyslimit"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/core/hysreach"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hyspeer"
 )
@@ -128,12 +130,20 @@
 // complete shard map.
 func (d *Daemon) setReplicas() bool {
 	complete := true
+	var targets hysreach.Targets
 	for _, s := range d.keeper.State().Services() {
 		replicas := d.replicas(s.Name)
+		for _, r := range replicas {
+			targets = append(targets, hysreach.Target{Searcher: r.Searcher, Incarnation: r.Incarnation})
+		}
 		d.dispatcher.SetReplicas(s.Name, replicas, s.SearcherSlots)
 		_, ok := d.view.Snapshot(s.Name)
 		complete = complete && ok && len(replicas) == len(d.view.Searchers(s.Name))
 	}
+	if !slices.Equal(targets, d.targets) {
+		d.targets = targets
+		d.prober.SetTargets(targets)
+	}
 	return complete
 }
 
--- a/io/hysdaemon/quarantine.go
+++ b/io/hysdaemon/quarantine.go
@@ -40,7 +40,7 @@
 			return info.Incarnation > incarnation
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			return true
+			return d.refusalIsCrash(ctx, s)
 		}
 		select {
 		case <-ctx.Done():
@@ -49,3 +49,18 @@
 	}
 	return false
 }
+
+// refusalConfirmTime is the time after a refused connection within which this instance
+// finds out whether it reaches any searcher.
+const refusalConfirmTime = 400 * time.Millisecond
+
+// refusalIsCrash reports whether a refused connection shows that the searcher has
+// crashed: not if no searcher of its service is in reach, since then this instance may be
+// cut off.
+func (d *Daemon) refusalIsCrash(ctx context.Context, s hysmember.Searcher) bool {
+	select {
+	case <-ctx.Done():
+	case <-time.After(refusalConfirmTime):
+	}
+	return !d.prober.Tracker.Lost(s.Service)
+}
--- a/io/hysdaemon/report.go
+++ b/io/hysdaemon/report.go
@@ -144,6 +144,7 @@
 func (r *reporter) setGauges() {
 	d := r.daemon
 	state := d.keeper.State()
+	d.metrics.SetReach(d.prober.Tracker.Status())
 	d.metrics.Set(hysmetrics.Gauges{
 		Ready: d.acceptsRequests(), Leaving: d.leaving.Load(), StoreAge: d.storeAge(),
 		NewestTicket: uint64(state.HighestNumber()), RunningRequests: d.entry.Running(),
--- a/io/hysforward/client.go
+++ b/io/hysforward/client.go
@@ -26,7 +26,6 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmember"
-	"hyssopshore/core/hysreach"
 	"hyssopshore/io/hysconn"
 )
 
@@ -81,7 +80,7 @@
 	headers   Headers
 	cap       CapFunc
 	onRefused RefusedFunc
-	observer  Observer
+	observer  hysconn.Observer
 	// memory bounds the bytes of the responses being read.
 	memory *hysconn.MemoryBudget
 
@@ -136,9 +135,7 @@
 		headers: headers, pools: make(map[poolKey]*pool),
 		cap:       func(hysmember.Searcher) int { return defaultConnectionCap },
 		onRefused: func(hysmember.Searcher) {}, memory: hysconn.NewMemoryBudget(defaultResponseMemory),
-		observer: Observer{
-			Heard: func(hysmember.SearcherID) {}, Failed: func(hysmember.SearcherID, time.Time, hysreach.Evidence) {},
-		},
+		observer: hysconn.NoObserver(),
 	}
 	for _, o := range options {
 		o(c)
--- a/io/hysforward/reach.go
+++ b/io/hysforward/reach.go
@@ -3,28 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
-	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
-
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysreach"
+	"hyssopshore/io/hysconn"
 )
 
-// Observer is told what the client finds out about the reach of searchers.
-type Observer struct {
-	// Heard is called with a searcher that has sent a response or accepted a
-	// connection.
-	Heard func(hysmember.SearcherID)
-	// Failed is called with a searcher to which no connection could be established, or
-	// whose connection failed before a response. began is when that was started.
-	Failed func(id hysmember.SearcherID, began time.Time, e hysreach.Evidence)
-}
-
 // WithObserver sets an observer of the reach of searchers.
-func WithObserver(o Observer) Option {
+func WithObserver(o hysconn.Observer) Option {
 	return func(c *Client) { c.observer = o }
 }
 
@@ -48,30 +35,10 @@
 	return nil
 }
 
-// evidenceOf returns what an error of a connection says about the reach of its
-// searcher. A connection that the searcher has closed says nothing.
-func evidenceOf(err error) hysreach.Evidence {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, unix.ECONNREFUSED):
-		return hysreach.EvidenceRefused
-	case errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE):
-		return hysreach.EvidenceReset
-	case errors.Is(err, unix.ETIMEDOUT):
-		return hysreach.EvidenceUnacknowledged
-	case errors.Is(err, unix.EHOSTUNREACH), errors.Is(err, unix.ENETUNREACH):
-		return hysreach.EvidenceTimeout
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return hysreach.EvidenceTimeout
-	default:
-		return hysreach.EvidenceNone
-	}
-}
-
 // Evidence returns what an error of a connection says about the reach of its searcher,
 // given the other connections to it.
 func (c *Client) Evidence(s hysmember.Searcher, err error) hysreach.Evidence {
-	e := evidenceOf(err)
+	e := hysconn.EvidenceOf(err)
 	if e != hysreach.EvidenceRefused {
 		return e
 	}
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -38,6 +38,7 @@
 	"hyssopshore/io/hysingress"
 	"hyssopshore/io/hysmetrics"
 	"hyssopshore/io/hyspermit"
+	"hyssopshore/io/hysprobe"
 	"hyssopshore/io/hysrelay"
 )
 
@@ -70,10 +71,9 @@
 	directory    *hysmember.Directory
 	forward      *hysforward.Client
 	dispatcher   *hysdispatch.Dispatcher
-	// reach tracks which searchers this daemon can reach. checkReach receives a value
-	// when there is something to find out.
+	// prober finds out which searchers this daemon can reach, and reach holds that.
+	prober       *hysprobe.Prober
 	reach        *hysreach.Tracker
-	checkReach   chan struct{}
 	ingress      *hysingress.Ingress
 	callerServer *callerServer
 	suspects     *hysquarantine.Tracker
@@ -193,25 +193,27 @@
 		relays:    hysgather.NewRelays(time.Now),
 		suspects:  hysquarantine.NewTracker(time.Now),
 
-		reach: hysreach.NewTracker(time.Now), checkReach: make(chan struct{}, 1),
-
 		evidenceQueue: make(chan hysquarantine.Record, evidenceQueueLength),
 
 		droppedLines: func() int64 { return 0 },
 	}
 	f.instanceCount.Store(defaultInstanceCount)
+	f.prober = hysprobe.New(f.log)
+	f.reach = f.prober.Tracker
 	f.forward = hysforward.New(hysforward.Headers{
 		RequestID: headers.RequestID, Deadline: headers.Deadline, Signature: headers.Signature,
 		Searcher: headers.Searcher, NotRun: headers.NotRun, Leaving: headers.Leaving,
 		Limit: headers.Limit,
 	}, hysforward.WithConnectionCap(f.connectionCap), hysforward.WithResponseMemory(s.responseMemory()),
 		hysforward.WithRefusedFunc(f.searcherRefused),
-		hysforward.WithObserver(hysforward.Observer{Heard: f.searcherHeard, Failed: f.searcherFailed}))
+		hysforward.WithObserver(f.prober.Observer()))
+	f.prober.Probe, f.prober.Evidence = f.forward.Probe, f.forward.Evidence
 	f.dispatcher = hysdispatch.New(f.send,
 		hysdispatch.WithHedging(hysdispatch.HedgePolicy{Percentile: hedgePercentile, DefaultDelay: defaultHedgeDelay, RetryReserve: hedgeReserve}),
 		hysdispatch.WithBudget(f.budget), hysdispatch.WithLinger(lingerTime),
 		hysdispatch.WithConnections(f.forward.Connected), hysdispatch.WithReach(f.reach.Reachable), hysdispatch.WithLimitFunc(hyspermit.LogLimits(f.log)),
 		hysdispatch.WithPermits(func() { f.permits.Need() }, func() int { return int(f.peakInstances.Load()) }))
+	f.prober.Dispatcher = f.dispatcher
 	f.permits = f.newPermits()
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
@@ -281,7 +283,7 @@
 	wait.Go(func() { f.announce(ctx) })
 	wait.Go(func() { f.syncFromPeers(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
-	wait.Go(func() { f.probeSearchers(ctx) })
+	wait.Go(func() { f.prober.Run(ctx) })
 	wait.Go(func() { f.permits.Run(ctx) })
 	wait.Go(func() { f.updateGauges(ctx) })
 	wait.Go(func() { f.keepPrewarmed(ctx) })
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -87,9 +87,9 @@
 		}
 	}
 	started, startTime := time.Now(), f.directory.StartTime(s.ID)
-	f.sendStarted()
+	f.prober.SendStarted()
 	result := f.forward.Send(ctx, s, sub)
-	f.reach.SendEnded()
+	f.prober.SendEnded()
 	f.recordResult(s, sub, result)
 	if result.Draining {
 		f.recordDeparture(hysmember.Departure{ID: s.ID, StartTime: startTime}, sub.RequestID)
--- a/io/hysfront/replicas.go
+++ b/io/hysfront/replicas.go
@@ -36,7 +36,7 @@
 			byService[service] = nil
 		}
 	}
-	f.setTargets(byService)
+	f.prober.SetTargets(targets(byService))
 	for service, replicas := range byService {
 		f.knownServices[service] = true
 		f.dispatcher.SetReplicas(service, replicas, 1)
--- a/io/hyspeer/convert.go
+++ b/io/hyspeer/convert.go
@@ -80,7 +80,7 @@
 	return &peer.ShardReply{
 		Shard: uint32(r.Shard), Status: uint32(r.Status), Version: uint64(r.Version),
 		Epoch: uint64(r.Epoch), Hits: r.Hits, Reason: r.Reason,
-		RetryAfterMs: r.RetryAfter.Milliseconds(), NotSent: r.NotRun,
+		RetryAfterMs: r.RetryAfter.Milliseconds(), NotSent: r.NotRun, Unreachable: r.Unreachable,
 	}
 }
 
@@ -90,5 +90,6 @@
 		Version: hyssnapshot.Version(m.GetVersion()), Epoch: hyssnapshot.Epoch(m.GetEpoch()),
 		Hits: m.GetHits(), Reason: m.GetReason(),
 		RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, NotRun: m.GetNotSent(),
+		Unreachable: m.GetUnreachable(),
 	}
 }
--- a/io/hyssearch/client.go
+++ b/io/hyssearch/client.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	cap      int
 	attempts atomic.Uint64
+	observer hysconn.Observer
 	// memory bounds the bytes of the replies being read.
 	memory *hysconn.MemoryBudget
 	pools  map[hysmember.Address]*pool
@@ -54,9 +55,14 @@
 	return func(c *Client) { c.cap = count }
 }
 
+// WithObserver sets an observer of the reach of searchers.
+func WithObserver(o hysconn.Observer) Option {
+	return func(c *Client) { c.observer = o }
+}
+
 // New returns a client without connections.
 func New(options ...Option) *Client {
-	c := &Client{cap: defaultConnectionCap, memory: hysconn.NewMemoryBudget(replyMemoryBudget), pools: make(map[hysmember.Address]*pool)}
+	c := &Client{cap: defaultConnectionCap, observer: hysconn.NoObserver(), memory: hysconn.NewMemoryBudget(replyMemoryBudget), pools: make(map[hysmember.Address]*pool)}
 	for _, o := range options {
 		o(c)
 	}
--- a/io/hyssearch/send.go
+++ b/io/hyssearch/send.go
@@ -16,7 +16,11 @@
 // search at the searcher and returns once the searcher has replied, or after
 // cancelTimeout, so that the slot is free when the caller uses it again.
 func (c *Client) Send(ctx context.Context, s hysmember.Searcher, sub hysdispatch.SubRequest) hysdispatch.Result {
+	began := time.Now()
 	conn, err := c.acquire(ctx, s.Address, !sub.Idempotent)
+	if err != nil {
+		c.observe(ctx, s, began, err)
+	}
 	if errors.Is(err, ErrConnectionCap) {
 		return hysdispatch.Result{Fault: hysdispatch.FaultShed, Reason: err.Error(), NotRun: true}
 	}
@@ -26,6 +30,7 @@
 	request := c.request(sub)
 	reused := conn.reused
 	reply, err := c.exchange(ctx, s.Address, conn, request)
+	c.observe(ctx, s, began, err)
 	if reused && sub.Idempotent && ctx.Err() == nil && closedByPeer(err) {
 		// The searcher had closed the idle connection, which is not a crash.
 		if conn, err := c.connect(ctx, s.Address); err == nil {
