--- a/internal/hystest/cut.go
+++ b/internal/hystest/cut.go
@@ -1,6 +1,7 @@
 package hystest
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -27,9 +28,8 @@
 	CutRefuse
 )
 
-// fillTimeout is how long a connection may take that fills the queue of a listener
-// which accepts none any more.
-const fillTimeout = 30 * time.Millisecond
+// fillTimeout bounds the time to open a connection that fills the queue of a listener.
+const fillTimeout = time.Second
 
 // maxFillers bounds the connections that fill the queue of a listener.
 const maxFillers = 8
@@ -87,32 +87,62 @@
 // that their first packets are dropped.
 func (p *Proxy) hangNew() {
 	p.mu.Lock()
-	p.hanging = make(chan struct{})
+	p.hanging, p.parked = make(chan struct{}), make(chan struct{})
+	parked := p.parked
 	p.mu.Unlock()
 	p.setBacklog(0)
+	// The first connection is the one that accept still takes.
+	p.fill()
+	<-parked
 	for range maxFillers {
-		conn, err := net.DialTimeout("tcp", string(p.Address()), fillTimeout)
-		if err != nil {
+		if p.queueFull() {
 			return
 		}
-		p.mu.Lock()
-		p.fillers = append(p.fillers, conn)
-		p.mu.Unlock()
+		p.fill()
 	}
 }
 
+// fill opens a connection that is kept until the cut ends.
+func (p *Proxy) fill() {
+	conn, err := net.DialTimeout("tcp", string(p.Address()), fillTimeout)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fillers = append(p.fillers, conn)
+}
+
+// queueFull reports whether the queue of the listener holds more connections than its
+// backlog.
+func (p *Proxy) queueFull() bool {
+	full := false
+	p.control(func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		// For a listener these are the length of the queue and its limit.
+		full = err == nil && info.Unacked > info.Sacked
+		return err
+	})
+	return full
+}
+
 // setBacklog sets how many connections may wait to be accepted.
 func (p *Proxy) setBacklog(count int) {
+	p.control(func(fd int) error { return unix.Listen(fd, count) })
+}
+
+// control calls work with the listener's file descriptor.
+func (p *Proxy) control(work func(fd int) error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	raw, err := p.listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		panic(err)
 	}
-	var listenErr error
-	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), count) })
-	if err != nil || listenErr != nil {
-		panic(listenErr)
+	var workErr error
+	err = raw.Control(func(fd uintptr) { workErr = work(int(fd)) })
+	if err != nil || workErr != nil {
+		panic(errors.Join(err, workErr))
 	}
 }
 
@@ -120,6 +150,10 @@
 func (p *Proxy) awaitHealed() bool {
 	p.mu.Lock()
 	hanging := p.hanging
+	if p.parked != nil {
+		close(p.parked)
+		p.parked = nil
+	}
 	p.mu.Unlock()
 	if hanging == nil {
 		return false
--- a/internal/hystest/proxy.go
+++ b/internal/hystest/proxy.go
@@ -32,8 +32,10 @@
 	delay    time.Duration
 	accepted int
 	// hanging is set while new connections hang, and closed when they no longer do.
-	// fillers are the connections that fill the queue of the listener.
+	// parked is closed once none is accepted any more. fillers are the connections that
+	// fill the queue of the listener.
 	hanging chan struct{}
+	parked  chan struct{}
 	fillers []net.Conn
 }
 
