--- a/io/hysfront/partition_test.go
+++ b/io/hysfront/partition_test.go
@@ -58,10 +58,10 @@
 }
 
 // remoteSearcher is a searcher that each daemon reaches over a link of its own.
-func remoteSearcher(id hysmember.SearcherID, service hysservice.Name, runs *runCounts) hysmember.Entry {
+func remoteSearcher(id hysmember.SearcherID, service hysservice.Name, work time.Duration, runs *runCounts) hysmember.Entry {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.add(string(service) + " " + r.Header.Get(headers.RequestID))
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(work)
 		w.Header().Set(headers.RequestID, r.Header.Get(headers.RequestID))
 		w.Header().Set(headers.Signature, "s-"+string(id))
 		_, _ = io.WriteString(w, "0123456789abcdef")
@@ -177,7 +177,7 @@
 	for n := 0; time.Now().Before(until); n++ {
 		wait.Go(func() {
 			a := attempt{id: fmt.Sprint(d.settings.Instance, "-", n), kind: []string{"one", "query", "book"}[n%3], began: time.Now()}
-			r, _ := http.NewRequest(http.MethodPost, "http://"+string(d.settings.CallerAddress)+"/"+a.kind+"/", nil)
+			r, _ := http.NewRequest(http.MethodPost, "http://"+string(d.settings.CallerAddress)+"/"+a.kind+"/"+a.id, nil)
 			r.Host = "rota.example"
 			r.Header.Set(headers.RequestID, a.id)
 			r.Header.Set(headers.Deadline, "2000")
@@ -249,7 +249,7 @@
 			var searchers hysmember.Entries
 			for _, service := range []hysservice.Name{"roll", "desk", "ledger"} {
 				for n := range 2 {
-					searchers = append(searchers, remoteSearcher(hysmember.SearcherID(fmt.Sprint(service, "-", n)), service, runs))
+					searchers = append(searchers, remoteSearcher(hysmember.SearcherID(fmt.Sprint(service, "-", n)), service, 5*time.Millisecond, runs))
 				}
 			}
 			var daemons []*linkedDaemon
