End a round of probes also when its searchers are removed meanwhile

Found by reading: a searcher that was removed from the list while it was probed, and reached, was never taken out of the round. The round then lasted for ever, no other one began, and the daemon declined everything for other daemons, as one does that does not know whether it reaches anything. The test failed before. Relayed sub-requests also end at their deadline here, whatever the other daemon does.

--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -273,6 +273,10 @@
 	t.lastHeard.Store(t.clock())
 	t.failure = EvidenceNone
 	t.updateFlags()
+	if byProbe {
+		t.endRoundProbe(id)
+		t.schedule.succeeded(now)
+	}
 	s, ok := t.searchers[id]
 	if !ok {
 		return nil
@@ -280,8 +284,6 @@
 	s.heardAt.Store(t.clock())
 	if byProbe {
 		s.probing = false
-		t.endRoundProbe(id)
-		t.schedule.succeeded(now)
 	}
 	if !s.unreachable() || byProbe && t.hold(now) {
 		return nil
--- a/core/hysreach/tracker_test.go
+++ b/core/hysreach/tracker_test.go
@@ -258,6 +258,30 @@
 		Expect(w.tracker.Reachable(w.targets[1].Searcher.ID)).To(BeFalse())
 	})
 
+	It("goes on being found out when searchers are removed while they are probed", func() {
+		w := newWorld(script{Services: 4, Replicas: 1})
+		fail := func() {
+			w.now = w.now.Add(step)
+			began := w.now
+			w.now = w.now.Add(step)
+			w.tracker.Failed("s-0-0", began, hysreach.EvidenceReset)
+			w.now = w.now.Add(5 * time.Second)
+		}
+		fail()
+		probes, _ := w.tracker.NextProbes()
+		Expect(w.tracker.Suspicious()).To(BeTrue())
+		w.tracker.SetSearchers(nil)
+		for _, t := range probes {
+			w.tracker.Reached(t.Searcher.ID)
+		}
+		Expect(w.tracker.Suspicious()).To(BeFalse())
+		w.tracker.SetSearchers(w.targets)
+		fail()
+		probes, _ = w.tracker.NextProbes()
+		Expect(probes).NotTo(BeEmpty())
+		Expect(w.tracker.Suspicious()).To(BeTrue())
+	})
+
 	It("has lost no service without searchers, and none that all are leaving", func() {
 		w := newWorld(script{Services: 1, Replicas: 1})
 		Expect(w.tracker.Lost("unknown")).To(BeFalse())
--- a/io/hysfront/relaying.go
+++ b/io/hysfront/relaying.go
@@ -145,6 +145,8 @@
 	batch := b.rounds[round]
 	delete(b.rounds, round)
 	b.mu.Unlock()
+	ctx, stop := context.WithDeadline(ctx, batch.subs[0].Deadline)
+	defer stop()
 	f, began := b.front, time.Now()
 	answered := 0
 	delivered := make([]bool, len(batch.subs))
