Believe the tracker, not the order in which its changes arrive

Found by reading: changes are passed to the dispatcher by whoever caused them, so a service that was lost and regained within microseconds could end as lost at the dispatcher and as in reach at the tracker, for good, and everything for it would be relayed or refused. The dispatcher is now told what the tracker believes at that moment, one change at a time.

--- a/io/hysprobe/prober.go
+++ b/io/hysprobe/prober.go
@@ -4,10 +4,10 @@
 //
 // # Usage
 //
-//	p := hysprobe.New(client.Probe, client.Evidence, log)
+//	p := hysprobe.New(log)
 //	client := hysforward.New(headers, hysforward.WithObserver(p.Observer()))
-//	d := hysdispatch.New(send, hysdispatch.WithReach(p.Tracker.Reachable))
-//	p.Dispatcher = d
+//	p.Probe, p.Evidence = client.Probe, client.Evidence
+//	p.Dispatcher = hysdispatch.New(send, hysdispatch.WithReach(p.Tracker.Reachable))
 //	go p.Run(ctx)
 //	p.SetTargets(targets)
 package hysprobe
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"hyssopshore/core/hysdispatch"
@@ -41,6 +42,8 @@
 
 	// check receives a value when there is something to find out.
 	check chan struct{}
+	// mu is held while changes are passed to the dispatcher.
+	mu sync.Mutex
 }
 
 // New returns a prober without searchers.
@@ -123,14 +126,23 @@
 }
 
 // handle passes changes to the dispatcher, and logs them: sub-requests of services that
-// are lost end, and what sends to a searcher that is back have shown is forgotten.
+// are lost end, and what sends to a searcher that is back have shown is forgotten. Changes
+// may arrive here in another order than they were made, so what counts for a service is
+// whether it is lost now.
 func (p *Prober) handle(changes hysreach.Changes) {
+	if len(changes) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range changes {
 		switch c.Kind {
-		case hysreach.ChangeServiceLost:
-			p.Dispatcher.Lose(c.Service)
-		case hysreach.ChangeServiceRegained:
-			p.Dispatcher.Regain(c.Service)
+		case hysreach.ChangeServiceLost, hysreach.ChangeServiceRegained:
+			if p.Tracker.Lost(c.Service) {
+				p.Dispatcher.Lose(c.Service)
+			} else {
+				p.Dispatcher.Regain(c.Service)
+			}
 		case hysreach.ChangeSearcherRegained:
 			p.Dispatcher.Recover(c.Service, c.Searcher)
 		}
