Reach tracker: an index of its own before the first searchers

The first index pointed at the field that SetSearchers replaces, which a sign of life reads without the lock. Found by reading; the race detector has not seen it, since nothing is sent before there are searchers.

--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -107,7 +107,7 @@
 		now: now, started: now(), searchers: make(map[hysmember.SearcherID]*searcher),
 		services: make(map[hysservice.Name]*service), unreachable: make(map[*searcher]bool),
 	}
-	t.index.Store(&t.searchers)
+	t.index.Store(&map[hysmember.SearcherID]*searcher{})
 	t.updateFlags()
 	return t
 }
