Count all runs of a query that a gatherer has given up

A gatherer that loses its searchers gives a delegated query back, and the daemon that had delegated it gives it to the next gatherer with one attempt less; but the first one may have sent each shard twice, a hedge included.

It says now how many searchers of one shard may have run the query, and the daemon counts these.

--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -119,9 +119,7 @@
 			return hysingress.DelegationResult{}, d.UsedAttempts, fmt.Errorf("delegate: %w", err)
 		}
 		lastErr = err
-		if mayHaveRun(err) {
-			d.UsedAttempts++
-		}
+		d.UsedAttempts += possibleRuns(err)
 		if end, _ := delegationEnd(err); end == hysgather.DelegationSilent && !lost {
 			break
 		}
@@ -180,14 +178,17 @@
 	return hysingress.DelegationResult{}, err
 }
 
-// mayHaveRun reports whether a daemon that has not answered a query may have run it.
-func mayHaveRun(err error) bool {
+// possibleRuns returns how many searchers of one shard may have run a query that a daemon
+// has not answered. One that has not accepted it in time may have sent it once.
+func possibleRuns(err error) int {
 	var lost *hysingress.SearchersLostError
 	if errors.As(err, &lost) {
-		return !lost.NotRun
+		return lost.PossibleRuns
+	}
+	if end, _ := delegationEnd(err); end.NotRun() {
+		return 0
 	}
-	end, _ := delegationEnd(err)
-	return !end.NotRun()
+	return 1
 }
 
 // delegationEnd returns how a delegation has ended, and for how long a gatherer
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -69,8 +69,8 @@
 // SearchersLostError is the error of an instance that has given a query up, since too
 // few of its shards are in reach there. Another instance may answer it.
 type SearchersLostError struct {
-	// NotRun is set if no searcher has run any part of the query.
-	NotRun bool
+	// PossibleRuns is how many searchers of one shard may have run the query.
+	PossibleRuns int
 }
 
 // Error describes the error.
@@ -142,7 +142,7 @@
 	e := &exchange{ingress: i, writer: w, request: request, start: d.Start, delegated: true, usedAttempts: d.UsedAttempts}
 	e.serve()
 	if e.searchersLost {
-		return DelegationResult{}, &SearchersLostError{NotRun: e.notRun}
+		return DelegationResult{}, &SearchersLostError{PossibleRuns: e.possibleRuns}
 	}
 	return DelegationResult{
 		Response: hysmessage.Response{Status: w.status, Header: w.header, Body: w.body.Bytes()}, Record: e.record,
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -187,9 +187,10 @@
 	// usedAttempts is how often the query may have been sent to each shard before.
 	usedAttempts int
 	// searchersLost is set for a delegated query that was given up, since too few of its
-	// shards are in reach, and notRun if no searcher has run any part of it.
+	// shards are in reach. possibleRuns is how many searchers of one shard may have run
+	// it.
 	searchersLost bool
-	notRun        bool
+	possibleRuns  int
 }
 
 // ServeHTTP answers a request.
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -233,6 +234,28 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 	})
 
+	It("says how many searchers may have run a delegated query that it has given up", func() {
+		f := newIngress(requestCase{})
+		f.ingress.Lost = func(hysservice.Name) bool { return false }
+		f.ingress.Submit = func(_ context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
+			runs := 1
+			if sub.Service == "d2" {
+				runs = 2
+			}
+			return hysdispatch.SubReply{Status: hysquery.ShardUnavailable, Unreachable: true, Sends: runs, PossibleRuns: runs}
+		}
+		d := hysingress.Delegation{
+			Message: &hysmessage.Request{
+				Method: http.MethodPost, Target: "/all/7", Host: "127.0.0.1", Header: http.Header{"X-Id": {"r-1"}},
+			},
+			Start: time.Now(),
+		}
+		_, err := f.ingress.Gather(context.Background(), d, func([]hysservice.Name) error { return nil })
+		var lost *hysingress.SearchersLostError
+		Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+		Expect(lost.PossibleRuns).To(Equal(2))
+	})
+
 	It("cancels the sub-requests of a caller that has disconnected", func() {
 		c := requestCase{Path: "/all/7", Replies: map[hysservice.Name]scriptedReply{"d1": {Status: 200, AfterMS: 1500}, "d2": {Status: 200, AfterMS: 1500}}}
 		f := newFixture(c)
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -136,7 +136,7 @@
 		e.record.Sends += reply.Sends
 	}
 	if e.delegated {
-		e.searchersLost, e.notRun = true, result.NotRun()
+		e.searchersLost, e.possibleRuns = true, runs
 		e.record.Outcome, e.record.Reason = OutcomeFailed, string(hysdispatch.ErrUnreachable)
 		return true
 	}
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -59,7 +59,7 @@
 	case err == nil:
 		return stream.Send(encodeDelegationResult(answer))
 	case errors.As(err, &lost):
-		return stream.Send(&front.GatherReply{Accepted: true, SearchersLost: true, NotRun: lost.NotRun})
+		return stream.Send(&front.GatherReply{Accepted: true, SearchersLost: true, PossibleRuns: int32(lost.PossibleRuns)})
 	case accepted:
 		return connect.NewError(connect.CodeUnavailable, err)
 	default:
@@ -106,7 +106,7 @@
 		return hysingress.DelegationResult{}, fmt.Errorf("%w: %w", hysingress.ErrGathererLost, gatherError(ctx, stream.Err()))
 	}
 	if last := stream.Msg(); last.SearchersLost {
-		return hysingress.DelegationResult{}, &hysingress.SearchersLostError{NotRun: last.NotRun}
+		return hysingress.DelegationResult{}, &hysingress.SearchersLostError{PossibleRuns: max(int(last.PossibleRuns), 0)}
 	}
 	answer := decodeDelegationResult(stream.Msg())
 	if !valid(answer) {
