Give a query up only if most of its shards are lost

A query is given back only if most of its shards are lost, as it would be delegated for; else it ends here, as it did before. The new test failed before.

--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,28 +236,50 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 	})
 
-	It("says how many searchers may have run a delegated query that it has given up", func() {
-		f := newIngress(requestCase{})
-		f.ingress.Lost = func(hysservice.Name) bool { return false }
+	// loseSearchers lets the searchers of some shards be lost while a query runs, each of
+	// which may have run it once, and those of d2 twice. All sub-requests fail.
+	loseSearchers := func(f *fixture, lost ...hysservice.Name) {
+		var sent atomic.Bool
+		f.ingress.Lost = func(service hysservice.Name) bool { return sent.Load() && slices.Contains(lost, service) }
 		f.ingress.Submit = func(_ context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
+			sent.Store(true)
+			if !slices.Contains(lost, sub.Service) {
+				return hysdispatch.SubReply{Status: hysquery.ShardFailed, Sends: 1}
+			}
 			runs := 1
 			if sub.Service == "d2" {
 				runs = 2
 			}
 			return hysdispatch.SubReply{Status: hysquery.ShardUnavailable, Unreachable: true, Sends: runs, PossibleRuns: runs}
 		}
+	}
+
+	// gather lets the fixture gather a query for another instance.
+	gather := func(f *fixture) error {
 		d := hysingress.Delegation{
 			Message: &hysmessage.Request{
-				Method: http.MethodPost, Target: "/all/7", Host: "127.0.0.1", Header: http.Header{"X-Id": {"r-1"}},
+				Method: http.MethodPost, Target: "/few/7", Host: "127.0.0.1", Header: http.Header{"X-Id": {"r-1"}},
 			},
 			Start: time.Now(),
 		}
 		_, err := f.ingress.Gather(context.Background(), d, func([]hysservice.Name) error { return nil })
+		return err
+	}
+
+	It("says how many searchers may have run a delegated query that it has given up", func() {
+		f := newIngress(requestCase{})
+		loseSearchers(f, "d1", "d2", "d3")
 		var lost *hysingress.SearchersLostError
-		Expect(errors.As(err, &lost)).To(BeTrue(), "%v", err)
+		Expect(errors.As(gather(f), &lost)).To(BeTrue())
 		Expect(lost.PossibleRuns).To(Equal(2))
 	})
 
+	It("gives no query up for which most shards are in reach", func() {
+		f := newIngress(requestCase{})
+		loseSearchers(f, "d2")
+		Expect(gather(f)).To(Succeed())
+	})
+
 	It("cancels the sub-requests of a caller that has disconnected", func() {
 		c := requestCase{Path: "/all/7", Replies: map[hysservice.Name]scriptedReply{"d1": {Status: 200, AfterMS: 1500}, "d2": {Status: 200, AfterMS: 1500}}}
 		f := newFixture(c)
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -78,7 +78,7 @@
 		return true
 	}
 	result := s.Run(ctx)
-	if delegable && ctx.Err() == nil && result.Verdict == hyspartial.VerdictGiveUp && result.Unreachable() {
+	if delegable && ctx.Err() == nil && result.Verdict == hyspartial.VerdictGiveUp && result.Unreachable() && e.mostlyLost() {
 		return e.giveUp(result)
 	}
 	covered := result.Covered()
