Probe each searcher again soon while a partition lasts

The time between probes of one searcher doubles up to 2 s, which is meant for one dead searcher among others; and searchers that were heard on a connection opened ahead did not count as a success after which the rest is probed quickly.

Both are mended.

--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -66,7 +66,8 @@
 	s.suspects[of] = true
 }
 
-// succeeded records that a probe has reached its searcher.
+// succeeded records that an unreachable searcher was reached, by a probe or otherwise, or
+// another one by a probe.
 func (s *schedule) succeeded(now time.Time) { s.succeededAt = now }
 
 // busy reports whether a searcher was reached lately.
@@ -179,18 +180,18 @@
 		}
 		s := t.schedule.order[t.schedule.cursor%len(t.schedule.order)]
 		t.schedule.cursor++
-		if s.dueForProbe(now, t.schedule.busy(now)) {
+		if s.dueForProbe(now, t.schedule.busy(now) || !t.partitionedSince.IsZero()) {
 			targets = append(targets, s.probeAgain(now))
 		}
 	}
 	return targets
 }
 
-// dueForProbe reports whether an unreachable searcher is to be probed again: sooner if
-// another one was reached lately.
-func (s *searcher) dueForProbe(now time.Time, busy bool) bool {
+// dueForProbe reports whether an unreachable searcher is to be probed again: soon in a
+// partition, which may end at any time, and while others are being reached.
+func (s *searcher) dueForProbe(now time.Time, soon bool) bool {
 	interval := s.probeInterval
-	if busy {
+	if soon {
 		interval = min(interval, quietInterval)
 	}
 	return s.unreachable() && !s.probing && now.Sub(s.probedAt) >= interval
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -332,6 +332,7 @@
 	s.service.unreachable--
 	delete(t.unreachable, s)
 	t.updateFlags()
+	t.schedule.succeeded(now)
 	of := Change{Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since)}
 	of.Kind = ChangeSearcherRegained
 	changes := Changes{t.change(of)}
