Reach of searchers: one job a file, one copy of two rules, clearer names

Nothing changes in behaviour; the reason is how it reads. tracker.go had 491 lines with three jobs: partition.go holds the beginning and the end of a partition, service.go what is lost of services. `service.lost` and `Tracker.lost` meant different things (now allUnreachable); a comment said that suspectedAt becomes zero, which it never does; endRoundProbe and endRound said nothing of reached and not reached; a share was written as a divisor. fanOut built, sent, gave up, answered and recorded. 'More than half of the shards' stood in hysingress and in hysfront, the rule of a refused connection in both clients of searchers.

Ruled out: that it costs calm queries anything.

--- a/core/hysreach/round.go
+++ b/core/hysreach/round.go
@@ -61,8 +61,8 @@
 	return targets
 }
 
-// endRoundProbe records that one searcher of the round was reached.
-func (t *Tracker) endRoundProbe(id hysmember.SearcherID) {
+// roundReached records that one searcher of the round was reached.
+func (t *Tracker) roundReached(id hysmember.SearcherID) {
 	if t.round == nil || !t.round.pending[id] {
 		return
 	}
@@ -72,9 +72,9 @@
 	}
 }
 
-// endRound records that one searcher of the round was not reached, and decides after
+// roundFailed records that one searcher of the round was not reached, and decides after
 // the last one.
-func (t *Tracker) endRound(id hysmember.SearcherID, now time.Time) Changes {
+func (t *Tracker) roundFailed(id hysmember.SearcherID, now time.Time) Changes {
 	r := t.round
 	if r == nil || !r.pending[id] {
 		return nil
@@ -99,35 +99,3 @@
 	t.roundInterval = min(max(2*t.roundInterval, minRoundInterval), maxRoundInterval)
 	t.nextRoundAt = now.Add(t.roundInterval)
 }
-
-// loseAll marks all searchers as out of reach.
-func (t *Tracker) loseAll(now time.Time, r *round) Changes {
-	t.beginHold(now)
-	before := t.lostServices()
-	if t.partitionedSince.IsZero() {
-		t.partitionedSince = now
-	}
-	t.rejoiningSince = time.Time{}
-	for _, s := range t.searchers {
-		if s.unreachable() {
-			continue
-		}
-		s.unreachableSince, s.evidence = now, EvidenceInferred
-		s.service.unreachable++
-		t.unreachable[s] = true
-	}
-	t.updateFlags()
-	changes := Changes{t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})}
-	return append(changes, t.compareServices(before, Change{Evidence: r.evidence})...)
-}
-
-// beginHold sets the hold time of a partition, by how long ago the last one ended.
-func (t *Tracker) beginHold(now time.Time) {
-	t.reachableFrom = time.Time{}
-	if t.rejoinedAt.IsZero() || now.Sub(t.rejoinedAt) > relapseWindow {
-		t.holdTime, t.lastHoldTime = 0, 0
-		return
-	}
-	t.lastHoldTime = min(max(2*t.lastHoldTime, minHoldTime), maxHoldTime)
-	t.holdTime = t.lastHoldTime
-}
--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -54,16 +54,18 @@
 	succeededAt time.Time
 }
 
+// reset forgets the order and the suspects, because the list of the searchers has changed.
 func (s *schedule) reset() {
 	s.order, s.cursor = nil, 0
 	clear(s.suspects)
 }
 
-func (s *schedule) suspect(of *service) {
+// suspect records that a send to a searcher of a service has failed.
+func (s *schedule) suspect(failed *service) {
 	if s.suspects == nil {
 		s.suspects = make(map[*service]bool)
 	}
-	s.suspects[of] = true
+	s.suspects[failed] = true
 }
 
 // succeeded records that an unreachable searcher was reached, by a probe or otherwise, or
@@ -73,21 +75,22 @@
 // busy reports whether a searcher was reached lately.
 func (s *schedule) busy(now time.Time) bool { return now.Sub(s.succeededAt) < busyTime }
 
+// build sets the order of the searchers, if it is not set.
 func (s *schedule) build(t *Tracker) {
 	if len(s.order) > 0 {
 		return
 	}
 	services := make([]*service, 0, len(t.services))
-	for _, of := range t.services {
-		services = append(services, of)
+	for _, v := range t.services {
+		services = append(services, v)
 	}
 	slices.SortFunc(services, func(a, b *service) int {
 		return cmp.Compare(a.searchers[0].Searcher.ID, b.searchers[0].Searcher.ID)
 	})
 	for rank := 0; len(s.order) < len(t.searchers); rank++ {
-		for _, of := range services {
-			if rank < len(of.searchers) {
-				s.order = append(s.order, of.searchers[rank])
+		for _, v := range services {
+			if rank < len(v.searchers) {
+				s.order = append(s.order, v.searchers[rank])
 			}
 		}
 	}
@@ -144,15 +147,15 @@
 // heard since the failure.
 func (t *Tracker) probeSuspects(now time.Time) Targets {
 	var targets Targets
-	for of := range t.schedule.suspects {
-		if now.Sub(of.probedAt) < suspectInterval {
+	for v := range t.schedule.suspects {
+		if now.Sub(v.probedAt) < suspectInterval {
 			continue
 		}
-		delete(t.schedule.suspects, of)
-		of.probedAt = now
+		delete(t.schedule.suspects, v)
+		v.probedAt = now
 		count := 0
-		for _, s := range of.searchers {
-			if s.probing || s.unreachable() || t.at(&s.heardAt).After(of.suspectedAt) || count >= maxSuspects {
+		for _, s := range v.searchers {
+			if s.probing || s.unreachable() || t.at(&s.heardAt).After(v.suspectedAt) || count >= maxSuspects {
 				continue
 			}
 			count++
--- a/core/hysreach/searcher.go
+++ b/core/hysreach/searcher.go
@@ -41,20 +41,3 @@
 func (s *searcher) sameStart(t Target) bool {
 	return s.Searcher.Address == t.Searcher.Address && s.Incarnation == t.Incarnation
 }
-
-// service is a service with its searchers, the nearest first.
-type service struct {
-	searchers []*searcher
-	// unreachable is the number of searchers that are out of reach.
-	unreachable int
-	lostSince   time.Time
-	// suspectedAt is when a send to one of the searchers last failed, zero once its
-	// searchers have been probed. probedAt is when that was.
-	suspectedAt time.Time
-	probedAt    time.Time
-}
-
-// lost reports whether no searcher of the service is reached.
-func (s *service) lost() bool {
-	return len(s.searchers) > 0 && s.unreachable == len(s.searchers)
-}
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -23,7 +23,8 @@
 //	t.SetSearchers(targets)
 //	t.SendStarted()
 //	changes := t.Heard("s-1")
-//	for _, target := range t.NextProbes() { ... changes := t.ProbeFailed(target, began, evidence) }
+//	targets, changes := t.NextProbes()
+//	changes = t.ProbeFailed(targets[0].Searcher.ID, began, hysreach.EvidenceTimeout)
 //	if t.Lost("captains-desk") { ... }
 package hysreach
 
@@ -38,24 +39,6 @@
 	"hyssopshore/core/hysservice"
 )
 
-// Hold times. After a relapse the searchers must stay reachable for a while before
-// they count so, twice as long after each further one.
-const (
-	relapseWindow = 10 * time.Second
-	minHoldTime   = 500 * time.Millisecond
-	maxHoldTime   = 4 * time.Second
-)
-
-// End of a partition.
-const (
-	// maxRejoinUnreachable of one is the share of the searchers that may still be out of
-	// reach, as a divisor.
-	maxRejoinUnreachable = 10
-	// maxRejoinTime is how long after the first searcher was in reach again a partition
-	// ends at the latest.
-	maxRejoinTime = time.Second
-)
-
 // Tracker tracks which searchers are in reach. It is safe for concurrent use.
 type Tracker struct {
 	now func() time.Time
@@ -164,69 +147,19 @@
 
 func (t *Tracker) add(s *searcher) {
 	t.searchers[s.Searcher.ID] = s
-	of, ok := t.services[s.Searcher.Service]
+	known, ok := t.services[s.Searcher.Service]
 	if !ok {
-		of = &service{}
-		t.services[s.Searcher.Service] = of
+		known = &service{}
+		t.services[s.Searcher.Service] = known
 	}
-	of.searchers = append(of.searchers, s)
-	s.service = of
+	known.searchers = append(known.searchers, s)
+	s.service = known
 	if s.unreachable() {
-		of.unreachable++
+		known.unreachable++
 		t.unreachable[s] = true
 	}
 }
 
-// lost reports whether no searcher of a service counts as in reach.
-func (t *Tracker) lost(s *service) bool {
-	return s.lost() || !t.partitionedSince.IsZero() && len(s.searchers) > 0
-}
-
-// lostServices returns since when each lost service is lost.
-func (t *Tracker) lostServices() map[hysservice.Name]time.Time {
-	lost := make(map[hysservice.Name]time.Time)
-	if len(t.unreachable) == 0 && t.partitionedSince.IsZero() {
-		return lost
-	}
-	for name, s := range t.services {
-		if t.lost(s) {
-			lost[name] = s.lostSince
-		}
-	}
-	return lost
-}
-
-// compareServices returns the services that were lost or regained, where before holds
-// those that were lost. One that has no searchers any more is not lost.
-func (t *Tracker) compareServices(before map[hysservice.Name]time.Time, cause Change) Changes {
-	now := t.now()
-	var changes Changes
-	for name, s := range t.services {
-		c := cause
-		c.Service = name
-		since, wasLost := before[name]
-		switch lost := t.lost(s); {
-		case lost && wasLost:
-			s.lostSince = since
-		case lost:
-			s.lostSince = now
-			c.Kind = ChangeServiceLost
-			changes = append(changes, t.change(c))
-		case wasLost:
-			c.Kind, c.Lasted = ChangeServiceRegained, now.Sub(since)
-			changes = append(changes, t.change(c))
-		}
-	}
-	for name, since := range before {
-		if _, listed := t.services[name]; !listed {
-			c := cause
-			c.Service, c.Kind, c.Lasted = name, ChangeServiceRegained, now.Sub(since)
-			changes = append(changes, t.change(c))
-		}
-	}
-	return changes
-}
-
 // change completes a change with the state of the tracker.
 func (t *Tracker) change(c Change) Change {
 	c.SilentFor = t.now().Sub(t.at(&t.lastHeard))
@@ -274,7 +207,7 @@
 	t.failure = EvidenceNone
 	t.updateFlags()
 	if byProbe {
-		t.endRoundProbe(id)
+		t.roundReached(id)
 		t.schedule.succeeded(now)
 	}
 	s, ok := t.searchers[id]
@@ -291,81 +224,6 @@
 	return t.regain(s, now)
 }
 
-// hold reports whether searchers that probes reach don't count as reachable yet, since
-// the last partition was over only for a short time.
-func (t *Tracker) hold(now time.Time) bool {
-	if t.partitionedSince.IsZero() || t.holdTime == 0 {
-		return false
-	}
-	if t.reachableFrom.IsZero() {
-		t.reachableFrom = now
-	}
-	return t.holding(now)
-}
-
-// holding reports whether the hold time is running.
-func (t *Tracker) holding(now time.Time) bool {
-	return !t.reachableFrom.IsZero() && now.Sub(t.reachableFrom) < t.holdTime
-}
-
-// endHold marks the searchers that were reached during the hold time as reachable once
-// it is over.
-func (t *Tracker) endHold(now time.Time) Changes {
-	if t.reachableFrom.IsZero() || t.holding(now) {
-		return nil
-	}
-	from := t.reachableFrom
-	t.reachableFrom, t.holdTime = time.Time{}, 0
-	var changes Changes
-	for s := range t.unreachable {
-		if !t.at(&s.heardAt).Before(from) {
-			changes = append(changes, t.regain(s, now)...)
-		}
-	}
-	return changes
-}
-
-// regain marks a searcher as reachable.
-func (t *Tracker) regain(s *searcher, now time.Time) Changes {
-	wasLost, lostSince, since := t.lost(s.service), s.service.lostSince, s.unreachableSince
-	s.unreachableSince, s.evidence, s.probeInterval = time.Time{}, EvidenceNone, 0
-	s.service.unreachable--
-	delete(t.unreachable, s)
-	t.updateFlags()
-	t.schedule.succeeded(now)
-	of := Change{Service: s.Searcher.Service, Searcher: s.Searcher.ID, Lasted: now.Sub(since)}
-	of.Kind = ChangeSearcherRegained
-	changes := Changes{t.change(of)}
-	if !t.partitionedSince.IsZero() && t.rejoiningSince.IsZero() {
-		t.rejoiningSince = now
-	}
-	if wasLost && !t.lost(s.service) {
-		of.Kind, of.Lasted = ChangeServiceRegained, now.Sub(lostSince)
-		changes = append(changes, t.change(of))
-	}
-	return append(changes, t.endPartition(now)...)
-}
-
-// endPartition ends a partition once nearly all searchers are in reach, or some time
-// after the first one. Until then only some replicas of each shard are, which can't
-// carry the load.
-func (t *Tracker) endPartition(now time.Time) Changes {
-	if t.partitionedSince.IsZero() {
-		return nil
-	}
-	nearlyAll := maxRejoinUnreachable*len(t.unreachable) <= len(t.searchers)
-	late := !t.rejoiningSince.IsZero() && now.Sub(t.rejoiningSince) >= maxRejoinTime
-	if !nearlyAll && !late {
-		return nil
-	}
-	before := t.lostServices()
-	lasted := now.Sub(t.partitionedSince)
-	t.partitionedSince, t.rejoiningSince, t.rejoinedAt = time.Time{}, time.Time{}, now
-	t.updateFlags()
-	changes := Changes{t.change(Change{Kind: ChangeRejoined, Lasted: lasted})}
-	return append(changes, t.compareServices(before, Change{Partitioned: true})...)
-}
-
 // Failed records a send that failed before a response was received. began is when it
 // started.
 func (t *Tracker) Failed(id hysmember.SearcherID, began time.Time, e Evidence) {
@@ -393,7 +251,7 @@
 	now := t.now()
 	s, ok := t.searchers[id]
 	if !ok {
-		return t.endRound(id, now)
+		return t.roundFailed(id, now)
 	}
 	s.probing = false
 	var changes Changes
@@ -404,7 +262,7 @@
 		// It was reached during the hold time, and is not any more.
 		t.reachableFrom = time.Time{}
 	}
-	return append(changes, t.endRound(id, now)...)
+	return append(changes, t.roundFailed(id, now)...)
 }
 
 // provesUnreachable reports whether a failed probe shows that a searcher is out of
@@ -428,7 +286,7 @@
 	if len(t.unreachable) == len(t.searchers) {
 		t.rejoiningSince = time.Time{}
 	}
-	if wasLost || !s.service.lost() {
+	if wasLost || !s.service.allUnreachable() {
 		return nil
 	}
 	s.service.lostSince = now
--- a/io/hysconn/reach.go
+++ b/io/hysconn/reach.go
@@ -28,9 +28,19 @@
 	}
 }
 
-// EvidenceOf returns what an error of a connection says about the reach of its peer. A
-// connection that the peer has closed says nothing.
-func EvidenceOf(err error) hysreach.Evidence {
+// EvidenceOf returns what an error of a connection says about the reach of its searcher.
+// A refused one says less if inUse returns true: others to the same searcher are open.
+func EvidenceOf(err error, inUse func() bool) hysreach.Evidence {
+	e := evidenceOf(err)
+	if e == hysreach.EvidenceRefused && inUse() {
+		return hysreach.EvidenceRefusedInUse
+	}
+	return e
+}
+
+// evidenceOf returns what an error says by itself. A connection that the searcher has
+// closed says nothing.
+func evidenceOf(err error) hysreach.Evidence {
 	var timeout net.Error
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -217,7 +217,7 @@
 	f.permits = f.newPermits()
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
-		Relay: f.relay, Lost: f.reach.Lost,
+		Relay: f.relay, Lost: f.reach.Lost, MostlyLost: f.mostlyLost,
 		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections,
 	}
 	f.callerServer = newCallerServer(f.ingress, f.log)
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -151,8 +151,11 @@
 	// of a query are lost and it may be delegated as a whole, its sub-requests are not
 	// relayed. nil if there are no other instances.
 	Relay RelayFunc
-	// Lost reports whether no searcher of a service is in reach; nil if they always are.
-	Lost func(hysservice.Name) bool
+	// Lost reports whether no searcher of a service is in reach, and MostlyLost whether
+	// that is so for so many shards that a query is better delegated as a whole. Both are
+	// nil if the searchers are always in reach.
+	Lost       func(hysservice.Name) bool
+	MostlyLost func(shards []hysservice.Name) bool
 	// Admit decides whether a query may run.
 	Admit AdmitFunc
 	// Delegate delegates a query to another instance; nil if each instance gathers
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -241,6 +241,7 @@
 	loseSearchers := func(f *fixture, lost ...hysservice.Name) {
 		var sent atomic.Bool
 		f.ingress.Lost = func(service hysservice.Name) bool { return sent.Load() && slices.Contains(lost, service) }
+		f.ingress.MostlyLost = func(shards []hysservice.Name) bool { return sent.Load() && 2*len(lost) > len(shards) }
 		f.ingress.Submit = func(_ context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
 			sent.Store(true)
 			if !slices.Contains(lost, sub.Service) {
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -33,9 +33,12 @@
 	}
 }
 
-// mostlyLost reports whether more than half of the shards are lost.
-func (e *exchange) mostlyLost() bool { return 2*e.lostCount() > len(e.route.Shards) }
+// mostlyLost reports whether so many shards are lost that the query is better delegated.
+func (e *exchange) mostlyLost() bool {
+	return e.ingress.MostlyLost != nil && e.ingress.MostlyLost(e.route.Shards)
+}
 
+// lostCount returns the number of lost shards.
 func (e *exchange) lostCount() int {
 	if e.ingress.Lost == nil {
 		return 0
@@ -60,18 +63,7 @@
 // fanOut sends the sub-requests of the query. It reports whether the request has ended.
 // If it may be delegated and its searchers were lost meanwhile, it has not.
 func (e *exchange) fanOut(ctx context.Context, delegable bool) bool {
-	shards := e.route.Shards
-	s := &hysgather.DirectFanOut{
-		Submit: e.submit(shards, delegable), Deadline: e.deadline,
-		Policy: hyspartial.Policy{
-			Shards: len(shards), Minimum: e.route.MinimumShards(),
-			Goal: e.due(),
-		},
-	}
-	for _, service := range shards {
-		s.SubRequests = append(s.SubRequests, e.subRequest(service))
-	}
-	e.record.Shards = len(shards)
+	s := e.directFanOut(delegable)
 	if refusal, ok := e.admit(s.SubRequests, s.Policy.Minimum); !ok {
 		e.record.Queue = refusal.Queue
 		e.refuse(refusal.Reason, refusal.RetryAfter)
@@ -82,14 +74,42 @@
 		return e.giveUp(result)
 	}
 	covered := result.Covered()
+	e.answer(ctx, s.Policy, result)
+	// The caller has the answer. The record still needs the state of the other
+	// sub-requests.
+	result.CollectOutstanding()
+	for _, reply := range result.Replies {
+		e.record.Sends += reply.Sends
+		e.recordRelay(reply)
+	}
+	e.record.Missing = missingShards(e.route.Shards, covered, result.Replies)
+	return true
+}
+
+// directFanOut returns the query with a sub-request for each shard.
+func (e *exchange) directFanOut(delegable bool) *hysgather.DirectFanOut {
+	shards := e.route.Shards
+	e.record.Shards = len(shards)
+	s := &hysgather.DirectFanOut{
+		Submit: e.submit(shards, delegable), Deadline: e.deadline,
+		Policy: hyspartial.Policy{Shards: len(shards), Minimum: e.route.MinimumShards(), Goal: e.due()},
+	}
+	for _, service := range shards {
+		s.SubRequests = append(s.SubRequests, e.subRequest(service))
+	}
+	return s
+}
+
+// answer answers the request with the result of its fan-out.
+func (e *exchange) answer(ctx context.Context, p hyspartial.Policy, result hysgather.DirectFanOutResult) {
 	e.record.Answered = result.Answered
 	switch {
 	case result.Verdict == hyspartial.VerdictAnswer:
 		e.writeMerged(result)
-		if result.Answered < len(shards) {
+		if result.Answered < p.Shards {
 			e.flush()
 		}
-		e.observeLateness(s.Policy, result.Answered)
+		e.observeLateness(p, result.Answered)
 	case ctx.Err() != nil:
 		e.abandon()
 	case result.NotRun():
@@ -97,22 +117,12 @@
 	default:
 		e.fail(http.StatusGatewayTimeout, firstMissingReason(result))
 	}
-	// The caller has the answer. The record still needs the state of the other
-	// sub-requests.
-	result.CollectOutstanding()
-	for _, reply := range result.Replies {
-		e.record.Sends += reply.Sends
-		e.recordRelay(reply)
-	}
-	e.record.Missing = missingShards(shards, covered, result.Replies)
-	return true
 }
 
 // admit decides whether the query may run, by the shards that are in reach. The other
 // sub-requests are relayed, and the instances that run them decide about these.
 func (e *exchange) admit(subs []hysdispatch.SubRequest, minimum int) (hysdispatch.SubReply, bool) {
-	lost := e.lostCount()
-	if lost == 0 {
+	if e.lostCount() == 0 {
 		return e.ingress.Admit(subs, minimum)
 	}
 	var here []hysdispatch.SubRequest
@@ -121,7 +131,7 @@
 			here = append(here, sub)
 		}
 	}
-	if minimum = minimum - (len(subs) - len(here)); minimum < 1 {
+	if minimum -= len(subs) - len(here); minimum < 1 {
 		return hysdispatch.SubReply{}, true
 	}
 	return e.ingress.Admit(here, minimum)
--- a/io/hyssearch/reach.go
+++ b/io/hyssearch/reach.go
@@ -33,18 +33,13 @@
 // Evidence returns what an error of a connection says about the reach of its searcher,
 // given the other connections to it.
 func (c *Client) Evidence(s hysmember.Searcher, err error) hysreach.Evidence {
-	e := hysconn.EvidenceOf(err)
-	if e != hysreach.EvidenceRefused {
-		return e
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p := c.pool(s.Address)
-	p.dropUnusable()
-	if p.open > 0 {
-		return hysreach.EvidenceRefusedInUse
-	}
-	return e
+	return hysconn.EvidenceOf(err, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		p := c.pool(s.Address)
+		p.dropUnusable()
+		return p.open > 0
+	})
 }
 
 // dropUnusable closes the idle connections that the searcher has closed.
