hysreach: the loss of the last searcher begins a partition too

Cause: each service can be lost one by one by its own probes. Then no probe round and no partition was declared: the log line and the gauge `partitioned` were missing, and the hold time wasn't applied though nothing was in reach.

Ruled out: a slow check only; the new unit test shows the missing partition with no clock but its own.

Evidence: the new spec of tracker_test.go failed before (Partitioned is false after all have failed one after the other).

Why it works: the tracker begins the partition at the change that takes the last searcher; a round that fails when all are already unreachable says nothing new.

Before: 0 partitions declared in the spec.

--- a/core/hysreach/partition.go
+++ b/core/hysreach/partition.go
@@ -19,8 +19,8 @@
 	maxRejoinTime = time.Second
 )
 
-// loseAll marks all searchers as out of reach.
-func (t *Tracker) loseAll(now time.Time, r *round) Changes {
+// beginPartition marks all searchers as out of reach. cause says why.
+func (t *Tracker) beginPartition(now time.Time, cause Change) Changes {
 	t.beginHold(now)
 	before := t.lostServices()
 	if t.partitionedSince.IsZero() {
@@ -36,8 +36,9 @@
 		t.unreachable[s] = true
 	}
 	t.updateFlags()
-	changes := Changes{t.change(Change{Kind: ChangePartitioned, Evidence: r.evidence, Probed: r.probed})}
-	return append(changes, t.compareServices(before, Change{Evidence: r.evidence})...)
+	cause.Kind = ChangePartitioned
+	changes := Changes{t.change(cause)}
+	return append(changes, t.compareServices(before, Change{Evidence: cause.Evidence})...)
 }
 
 // beginHold sets the hold time of a partition, by how long ago the last one ended.
--- a/core/hysreach/round.go
+++ b/core/hysreach/round.go
@@ -83,6 +83,11 @@
 	if len(r.pending) > 0 {
 		return nil
 	}
+	if len(t.unreachable) == len(t.searchers) {
+		// The probe of the last one has shown it.
+		t.round = nil
+		return nil
+	}
 	heard := t.at(&t.lastHeard).After(r.began)
 	suspended := now.Sub(r.began) > 2*ProbeTimeout
 	if heard || suspended {
@@ -90,7 +95,7 @@
 		return nil
 	}
 	t.round, t.roundInterval, t.nextRoundAt = nil, 0, now
-	return t.loseAll(now, r)
+	return t.beginPartition(now, Change{Evidence: r.evidence, Probed: r.probed})
 }
 
 // clearRound ends a round that has confirmed nothing.
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -272,7 +272,7 @@
 	return !t.at(&s.heardAt).After(began) && now.Sub(began) <= 2*ProbeTimeout && e != EvidenceRefusedInUse
 }
 
-// lose marks a searcher as out of reach.
+// lose marks a searcher as out of reach. The last one to be lost begins a partition.
 func (t *Tracker) lose(s *searcher, now time.Time, e Evidence) Changes {
 	s.evidence = e
 	if s.unreachable() {
@@ -283,14 +283,15 @@
 	s.service.unreachable++
 	t.unreachable[s] = true
 	t.updateFlags()
-	if len(t.unreachable) == len(t.searchers) {
-		t.rejoiningSince = time.Time{}
+	var changes Changes
+	if !wasLost && s.service.allUnreachable() {
+		s.service.lostSince = now
+		changes = Changes{t.change(Change{Kind: ChangeServiceLost, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Evidence: e})}
 	}
-	if wasLost || !s.service.allUnreachable() {
-		return nil
+	if len(t.unreachable) < len(t.searchers) {
+		return changes
 	}
-	s.service.lostSince = now
-	return Changes{t.change(Change{Kind: ChangeServiceLost, Service: s.Searcher.Service, Searcher: s.Searcher.ID, Evidence: e})}
+	return append(changes, t.beginPartition(now, Change{Evidence: e, Searcher: s.Searcher.ID})...)
 }
 
 // Lost reports whether no searcher of a service is in reach, though there are some.
--- a/core/hysreach/tracker_test.go
+++ b/core/hysreach/tracker_test.go
@@ -282,6 +282,28 @@
 		Expect(w.tracker.Suspicious()).To(BeTrue())
 	})
 
+	It("is known to be lost for all when the searchers fail one after the other", func() {
+		w := newWorld(script{Services: 3, Replicas: 1})
+		var changes hysreach.Changes
+		for i := range w.targets {
+			w.now = w.now.Add(time.Second)
+			began := w.now
+			w.now = w.now.Add(step)
+			// A searcher that is not listed any more still answers, so that there is no
+			// suspicion about all.
+			w.tracker.Heard("unlisted")
+			w.tracker.Failed(w.targets[i].Searcher.ID, began, hysreach.EvidenceReset)
+			w.now = w.now.Add(step)
+			probes, _ := w.tracker.NextProbes()
+			for _, t := range probes {
+				changes = append(changes, w.tracker.ProbeFailed(t.Searcher.ID, w.now, hysreach.EvidenceRefused)...)
+			}
+		}
+		Expect(w.tracker.Status().LostServices).To(Equal(3))
+		Expect(w.tracker.Status().Partitioned).To(BeTrue())
+		Expect(changes).To(ContainElement(HaveField("Kind", hysreach.ChangePartitioned)))
+	})
+
 	It("has lost no service without searchers, and none that all are leaving", func() {
 		w := newWorld(script{Services: 1, Replicas: 1})
 		Expect(w.tracker.Lost("unknown")).To(BeFalse())
