A daemon no longer takes itself for lagging while hardly any key changes

In the logs the reader is lost and other daemons are asked while the store is well: "whose state is 2.086s old: the store does not serve that instance either".

Cause: after a watch that reports only keys that no daemon needs, the reader pauses for the read interval, and the next watch may wait as long again. Its state is then 2.4 s old, and counts as lagging from 2.0 s on. Followers leave it for 5 s and read the store themselves; it asks other daemons.

Ruled out: a silent connection to the store; the lone daemon of the soak, which gets no such fault, was asked for its state when that was 2.105 s old.

Fix: a watch waits until the state is as old as the read interval, no longer. On a store with heartbeats each watch ends at once, and nothing changes.

Test: 'is followed while hardly any key changes' failed after 2.6 s with a state of 2.388 s, and passes.

--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -241,7 +241,7 @@
 		f.storeView.markComplete(began)
 		return s.Revision, 0, nil
 	}
-	c, err := f.source.Watch(ctx, after, f.readInterval())
+	c, err := f.source.Watch(ctx, after, f.watchWait())
 	if err != nil {
 		return 0, 0, fmt.Errorf("watch after %d: %w", after, err)
 	}
@@ -253,6 +253,12 @@
 	return max(after, c.Revision), f.nextReadDelay(c, changed), nil
 }
 
+// watchWait returns how long a watch waits for the next change: until the state is as
+// old as the read interval. A daemon whose state is much older counts as lagging.
+func (f *Front) watchWait() time.Duration {
+	return max(f.readInterval()-f.storeView.age(), minWatchInterval)
+}
+
 // nextReadDelay returns the time until the next watch after one that reported
 // changes. changed is set if any of them was relevant.
 func (f *Front) nextReadDelay(c Changes, changed bool) time.Duration {
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -52,8 +52,10 @@
 	changes  []hysfront.Changes
 	// watchWait is how long a watch waits that reports no changes.
 	watchWait time.Duration
-	peers     hysmember.Instances
-	limits    hysroute.Limits
+	// holdsWatches makes such a watch wait as long as it was asked to.
+	holdsWatches bool
+	peers        hysmember.Instances
+	limits       hysroute.Limits
 	// evidence holds the crash evidence that was written.
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
@@ -103,7 +105,7 @@
 			s.reads++
 			return hysfront.Snapshot{Configuration: s.configuration(), Entries: s.entries, Revision: s.revision}, nil
 		},
-		Watch: func(ctx context.Context, after hysmember.Revision, _ time.Duration) (hysfront.Changes, error) {
+		Watch: func(ctx context.Context, after hysmember.Revision, longest time.Duration) (hysfront.Changes, error) {
 			time.Sleep(10 * time.Millisecond)
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -117,6 +119,9 @@
 			}
 			if len(s.changes) == 0 {
 				wait := s.watchWait
+				if s.holdsWatches {
+					wait = longest
+				}
 				s.mu.Unlock()
 				time.Sleep(wait)
 				s.mu.Lock()
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -182,6 +182,16 @@
 		Expect(followerStore.after).To(BeNumerically("<", 30), "the removal is read again")
 	})
 
+	It("is followed while hardly any key changes", func() {
+		startBoth("127.0.0.17", "127.0.0.18")
+		readerStore.withLock(func() {
+			readerStore.holdsWatches = true
+			// A key changes that no daemon needs.
+			readerStore.changes = []hysfront.Changes{{Revision: 40, Events: 1}}
+		})
+		Consistently(follower.log.String, "5s").ShouldNot(ContainSubstring("reader lost"))
+	})
+
 	It("reads the store itself while the other one lags behind it", func() {
 		startBoth("127.0.0.27", "127.0.0.28")
 		readerStore.withLock(func() { readerStore.backlog = true })
