An entry that its searcher has changed takes effect at once

What callers saw: requests went on to a searcher's old address (or by its old number of slots, or zone) after its entry in the store had changed without a restart, until some other searcher joined or left.

Cause: Directory.Put stores the new entry, but reports a change only where a searcher has joined, restarted or begun to leave. The frontend daemon passes its replicas on only if there is a change.

Fix: a change of its own, 'updated'. A heartbeat is still no change.

Tests, both failed before: 'an entry that its searcher has changed is reported, a heartbeat is not' (unchanged instead of updated); 'uses the address to which a searcher has moved' (answered by the old address for 2 s).

--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -57,6 +57,7 @@
 	ChangeRestarted                   // restarted
 	ChangeDraining                    // draining
 	ChangeGone                        // gone
+	ChangeUpdated                     // updated
 )
 
 // Change is how an entry differs from what was known.
@@ -147,6 +148,8 @@
 		change.Kind = ChangeRestarted
 	case e.Searcher.Leaving && !known.Searcher.Leaving:
 		change.Kind = ChangeDraining
+	case !e.sameExceptHeartbeat(known):
+		change.Kind = ChangeUpdated
 	}
 	return change, change.Kind != ChangeNone
 }
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -26,6 +26,7 @@
 	Rev       hysmember.Revision      `json:"rev"`
 	StartTime int64                   `json:"born"`
 	Seq       int64                   `json:"seq"`
+	Slots     int                     `json:"slots"`
 	Drains    json.RawMessage         `json:"leaving"`
 	Want      string                  `json:"want"`
 	// Settled is the confirmed revision, of at most 100.
@@ -42,7 +43,7 @@
 	switch {
 	case s.Put != "":
 		e := entry(s.Put, s.Rev)
-		e.StartTime, e.Sequence, e.Searcher.Leaving = s.StartTime, s.Seq, string(s.Drains) == "true"
+		e.StartTime, e.Sequence, e.Slots, e.Searcher.Leaving = s.StartTime, s.Seq, s.Slots, string(s.Drains) == "true"
 		change, _ = d.Put(e)
 		Expect(change.Kind.String()).To(Equal(s.kind()))
 	case s.Leaves != "":
--- a/core/hysmember/enum_string.go
+++ b/core/hysmember/enum_string.go
@@ -13,11 +13,12 @@
 	_ = x[ChangeRestarted-2]
 	_ = x[ChangeDraining-3]
 	_ = x[ChangeGone-4]
+	_ = x[ChangeUpdated-5]
 }
 
-const _ChangeKind_name = "unchangedjoinedrestarteddraininggone"
+const _ChangeKind_name = "unchangedjoinedrestarteddraininggoneupdated"
 
-var _ChangeKind_index = [...]uint8{0, 9, 15, 24, 32, 36}
+var _ChangeKind_index = [...]uint8{0, 9, 15, 24, 32, 36, 43}
 
 func (i ChangeKind) String() string {
 	idx := int(i) - 0
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -331,6 +331,17 @@
 		Expect(d.log.String()).NotTo(ContainSubstring(`"msg":"configuration in force","instance":"entry-127.0.0.3","version":2`))
 	})
 
+	It("uses the address to which a searcher has moved", func() {
+		d := start(s, "127.0.0.60")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		moved := searcher("s-1 moved", 0)
+		moved.Searcher.ID, moved.Sequence, moved.Revision = "s-1", 2, 8
+		s.withLock(func() {
+			s.changes = []hysfront.Changes{{Updates: []hysfront.Update{{ID: "s-1", Entry: moved, Revision: 8}}, Revision: 8, Events: 1}}
+		})
+		Eventually(func() string { _, body := d.request(); return body }, "2s").Should(Equal("s-1 moved"))
+	})
+
 	It("reads the full state again when a watch has missed a change", func() {
 		d := start(s, "127.0.0.4")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
