An instance that sends nothing finds out that it is partitioned

What callers saw: the first query at a daemon that had been quiet since the cut failed (502, "no searcher of the service is in reach") after 0.3 s. Its two permitted attempts were spent on links that were already dead, so that nobody else could run it.

Cause: the belief in a partition came from sends only.

Fix: an instance that hears nothing for a second probes one searcher, with one connection. A failure raises the same suspicion as a failed send, and the usual round confirms or clears it. An instance with sends makes no such probe.

--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -36,6 +36,8 @@
 	quietInterval = 250 * time.Millisecond
 	// busyTime is how long after a success probes go on in large batches.
 	busyTime = time.Second
+	// IdleInterval is the time without a sign of life after which a searcher is probed.
+	IdleInterval = time.Second
 	// maxProbeInterval bounds the time between two probes of one searcher. It begins
 	// at quietInterval and doubles.
 	maxProbeInterval = 2 * time.Second
@@ -52,6 +54,9 @@
 	// nextBatchAt is when unreachable searchers are probed next.
 	nextBatchAt time.Time
 	succeededAt time.Time
+	// idleProbe is the searcher that was last probed because nothing was sent.
+	idleProbe   *searcher
+	idleProbeAt time.Time
 }
 
 // reset forgets the order and the suspects, because the list of the searchers has changed.
@@ -140,9 +145,28 @@
 	changes := append(t.endHold(now), t.endPartition(now)...)
 	targets := t.startRound(now)
 	targets = append(targets, t.probeSuspects(now)...)
+	targets = append(targets, t.probeIdle(now)...)
 	return append(targets, t.probeUnreachable(now)...), changes
 }
 
+// probeIdle returns a searcher to probe if this instance has neither heard from any nor
+// probed one for a while, so that it knows of a partition before its next send.
+func (t *Tracker) probeIdle(now time.Time) Targets {
+	last := t.at(&t.lastHeard)
+	if t.schedule.idleProbeAt.After(last) {
+		last = t.schedule.idleProbeAt
+	}
+	if t.round != nil || t.running.Load() > 0 || len(t.unreachable) > 0 || now.Sub(last) < IdleInterval {
+		return nil
+	}
+	sample := t.schedule.sample(t)
+	if len(sample) == 0 {
+		return nil
+	}
+	t.schedule.idleProbe, t.schedule.idleProbeAt = sample[0], now
+	return Targets{sample[0].startProbe(now)}
+}
+
 // probeSuspects returns the searchers of the suspected services from which nothing was
 // heard since the failure.
 func (t *Tracker) probeSuspects(now time.Time) Targets {
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -12,7 +12,7 @@
 //
 // A searcher is out of reach only by a probe that failed after the last sign of life,
 // so a searcher that is slow, sheds load or fails requests is not: it answers. An
-// instance without sends has no evidence, and believes that it reaches everything.
+// instance without sends probes one searcher in each IdleInterval.
 //
 // The package sends nothing. Its user reports what happens and runs the probes, each
 // of them one new connection.
@@ -256,6 +256,7 @@
 	s.probing = false
 	var changes Changes
 	if t.provesUnreachable(s, began, now, e) {
+		t.suspectIdle(s, began, e)
 		changes = t.lose(s, now, e)
 	}
 	if !t.reachableFrom.IsZero() && !t.at(&s.heardAt).Before(t.reachableFrom) {
@@ -265,6 +266,13 @@
 	return append(changes, t.roundFailed(id, now)...)
 }
 
+// suspectIdle records that the probe of an instance that sends nothing has failed.
+func (t *Tracker) suspectIdle(s *searcher, began time.Time, e Evidence) {
+	if s == t.schedule.idleProbe && t.at(&t.lastHeard).Before(began) {
+		t.failure = e
+	}
+}
+
 // provesUnreachable reports whether a failed probe shows that a searcher is out of
 // reach. A probe that took much longer than its timeout says more about this process,
 // which may have been suspended.
--- a/io/hysprobe/prober.go
+++ b/io/hysprobe/prober.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Run probes searchers until the context ends. It does nothing while nothing is sent and
+// Run probes searchers until the context ends. It does little while nothing is sent and
 // all are in reach.
 func (p *Prober) Run(ctx context.Context) {
 	ticker := time.NewTicker(hysreach.CheckInterval)
@@ -105,7 +105,7 @@
 		case p.Tracker.Busy():
 			busyAt = time.Now()
 		case time.Since(busyAt) > checkLinger:
-			ticker.Stop()
+			ticker.Reset(hysreach.IdleInterval)
 		}
 	}
 }
