Tests: -rapid.checks and -rapid.seed take effect

docs/proofs/membership.md says that they change the number and the seed of the checks. The suite set its own values after the command line was read, so that 200,000 checks took as long as 100.

--- a/internal/hyssuite/suite.go
+++ b/internal/hyssuite/suite.go
@@ -30,12 +30,13 @@
 )
 
 // Main runs the tests of a package that has property-based tests, each of them
-// with the given number of checks. A failure leaves no file behind.
+// with the given number of checks unless the command line says another one. A failure
+// leaves no file behind.
 func Main(m *testing.M, checks int) {
-	flag.Parse()
 	setFlag("rapid.seed", fuzzSeed)
 	setFlag("rapid.checks", strconv.Itoa(checks))
 	setFlag("rapid.nofailfile", "true")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
