--- a/core/hysmember/delta.go
+++ b/core/hysmember/delta.go
@@ -51,6 +51,9 @@
 type Removal struct {
 	ID       SearcherID
 	Revision Revision
+	// StartTime and Sequence are those of the last entry that was known, 0 if none was.
+	StartTime int64
+	Sequence  int64
 }
 
 // sameExceptHeartbeat reports whether two entries of one id differ in their
@@ -74,8 +77,8 @@
 
 // removalRecord is when an entry was removed.
 type removalRecord struct {
-	version  Version
-	revision Revision
+	Removal
+	version Version
 }
 
 // closedChannel is returned for a change that has already happened.
@@ -107,9 +110,9 @@
 }
 
 // drop records that an entry was removed.
-func (l *changeLog) drop(id SearcherID, revision Revision) {
-	delete(l.changedAt, id)
-	l.removals[id] = removalRecord{version: l.next(), revision: revision}
+func (l *changeLog) drop(r Removal) {
+	delete(l.changedAt, r.ID)
+	l.removals[r.ID] = removalRecord{Removal: r, version: l.next()}
 	if len(l.removals) > maxRemovals {
 		l.expireHalf()
 	}
--- a/core/hysmember/delta_test.go
+++ b/core/hysmember/delta_test.go
@@ -72,7 +72,7 @@
 
 // list reads the whole listing.
 func (p *pair) list(d *hysmember.Directory) {
-	p.revision++
+	p.revision.Number++
 	var entries hysmember.Entries
 	for _, e := range p.listed {
 		entries = append(entries, e)
@@ -85,7 +85,7 @@
 
 // markLearned records that a directory was sent the last change.
 func (p *pair) markLearned(d *hysmember.Directory) {
-	if d == p.reader && p.complete == p.revision-1 {
+	if d == p.reader && p.complete.Number == p.revision.Number-1 {
 		p.complete = p.revision
 	}
 }
@@ -101,7 +101,7 @@
 func usesOf(d *hysmember.Directory) string {
 	text := ""
 	for _, e := range d.Entries() {
-		e.Sequence, e.Revision = 0, 0
+		e.Sequence, e.Revision = 0, hysmember.Revision{}
 		text += fmt.Sprint(e, " ")
 	}
 	return text
@@ -109,7 +109,7 @@
 
 // write lists a new or changed entry, or a heartbeat of the listed one.
 func (p *pair) write(t *rapid.T) hysmember.Entry {
-	p.revision++
+	p.revision.Number++
 	id := drawID(t)
 	e, known := p.listed[id]
 	if !known || rapid.Bool().Draw(t, "changed") {
@@ -124,7 +124,7 @@
 		}
 		p.startTimes[id] = e.StartTime
 	}
-	e.Sequence, e.Revision = int64(p.revision), p.revision
+	e.Sequence, e.Revision = p.revision.Number, p.revision
 	p.listed[id] = e
 	return e
 }
@@ -156,7 +156,7 @@
 			}
 		},
 		"remove": func(t *rapid.T) {
-			p.revision++
+			p.revision.Number++
 			id := drawID(t)
 			delete(p.listed, id)
 			for _, d := range p.drawInformed(t) {
@@ -231,10 +231,10 @@
 
 	It("are the full state once removals have expired", func() {
 		version := d.Since(0).Version
-		for i := range hysmember.Revision(5000) {
+		for i := range int64(5000) {
 			id := hysmember.SearcherID(fmt.Sprint("s-", i))
 			d.Put(entry(id, 2*i+10))
-			d.Remove(id, 2*i+11, time.Unix(1, 0))
+			d.Remove(id, revision(2*i+11), time.Unix(1, 0))
 		}
 		x := d.Since(version)
 		Expect(x.Full).To(BeTrue())
@@ -244,15 +244,15 @@
 	})
 
 	It("do not restore an entry that was written before its removal", func() {
-		d.Remove("s-1", 5, time.Unix(1, 0))
-		d.Apply(hysmember.Delta{Entries: hysmember.Entries{entry("s-1", 4)}}, 6)
+		d.Remove("s-1", revision(5), time.Unix(1, 0))
+		d.Apply(hysmember.Delta{Entries: hysmember.Entries{entry("s-1", 4)}}, revision(6))
 		Expect(d.Entries()).To(BeEmpty())
 	})
 
 	It("do not drop an entry that was written after its removal", func() {
 		d.Put(entry("s-1", 8))
-		d.Apply(hysmember.Delta{Full: true}, 7)
-		d.Apply(hysmember.Delta{Removals: []hysmember.Removal{{ID: "s-1", Revision: 7}}}, 7)
+		d.Apply(hysmember.Delta{Full: true}, revision(7))
+		d.Apply(hysmember.Delta{Removals: []hysmember.Removal{{ID: "s-1", Revision: revision(7)}}}, revision(7))
 		Expect(d.Entries()).To(HaveLen(1))
 	})
 })
--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -13,9 +13,6 @@
 // still be written anew if it expired during the outage.
 const missingGrace = 2200 * time.Millisecond
 
-// Revision orders the changes of the store.
-type Revision int64
-
 // Entry is what a searcher has written about itself to the store.
 type Entry struct {
 	Searcher Searcher
@@ -38,7 +35,7 @@
 	case e.Sequence != other.Sequence:
 		return e.Sequence < other.Sequence
 	default:
-		return e.Revision < other.Revision
+		return e.Revision.Before(other.Revision)
 	}
 }
 
@@ -76,8 +73,8 @@
 	entries map[SearcherID]Entry
 	// missing holds the time since which an entry is no longer listed.
 	missing map[SearcherID]time.Time
-	// removed holds the revision at which an id was last removed.
-	removed map[SearcherID]Revision
+	// removed holds how an id was last removed.
+	removed map[SearcherID]tombstone
 	// departures are the searchers that have announced that they are leaving.
 	departures       map[SearcherID]departureRecord
 	storeUnavailable bool
@@ -92,7 +89,7 @@
 	return &Directory{
 		entries:    make(map[SearcherID]Entry),
 		missing:    make(map[SearcherID]time.Time),
-		removed:    make(map[SearcherID]Revision),
+		removed:    make(map[SearcherID]tombstone),
 		departures: make(map[SearcherID]departureRecord),
 		changeLog:  newChangeLog(),
 	}
@@ -114,6 +111,14 @@
 	}
 }
 
+// BeginEra records that the store has come back from a copy. Entries that the copy lacks
+// may be written anew, as after an outage.
+func (d *Directory) BeginEra(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeAvailableAt = now
+}
+
 // Put stores an entry unless a newer one of its searcher, or a later removal,
 // is known.
 func (d *Directory) Put(e Entry) (Change, bool) {
@@ -125,7 +130,11 @@
 func (d *Directory) put(e Entry) (Change, bool) {
 	id := e.Searcher.ID
 	known, ok := d.entries[id]
-	if ok && e.olderThan(known) || e.Revision <= d.removed[id] {
+	if ok && e.olderThan(known) {
+		return Change{}, false
+	}
+	if t := d.removed[id]; t.outdates(e, ok) {
+		d.removed[id] = t.see(e)
 		return Change{}, false
 	}
 	d.entries[id] = e
@@ -161,10 +170,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, ok := d.entries[id]
-	if revision < known.Revision {
+	if revision.Before(known.Revision) {
 		return Change{}, false
 	}
-	d.removed[id] = max(d.removed[id], revision)
+	d.markRemoved(Removal{ID: id, Revision: revision}, known)
 	if !ok {
 		return Change{}, false
 	}
@@ -190,8 +199,8 @@
 	delete(d.entries, id)
 	delete(d.missing, id)
 	d.digest ^= known.digest()
-	d.changeLog.drop(id, d.removed[id])
-	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id]}
+	d.changeLog.drop(d.removed[id].Removal)
+	return Change{ID: id, Service: known.Searcher.Service, Kind: ChangeGone, Revision: d.removed[id].Revision}
 }
 
 // Replace applies a full listing that was read at listRevision: entries that it
@@ -201,8 +210,8 @@
 	defer d.mu.Unlock()
 	changes, present := d.putAll(listed)
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		if known := d.entries[id]; !present[id] && known.Revision <= listRevision {
-			d.removed[id] = max(d.removed[id], listRevision)
+		if known := d.entries[id]; !present[id] && !listRevision.Before(known.Revision) {
+			d.markRemoved(Removal{ID: id, Revision: listRevision}, known)
 			if c, ok := d.dropOrWait(known, now); ok {
 				changes = append(changes, c)
 			}
@@ -235,10 +244,10 @@
 // applyRemoval drops an entry unless it was written after its removal.
 func (d *Directory) applyRemoval(r Removal) []Change {
 	known, ok := d.entries[r.ID]
-	if known.Revision > r.Revision {
+	if r.Revision.Before(known.Revision) {
 		return nil
 	}
-	d.removed[r.ID] = max(d.removed[r.ID], r.Revision)
+	d.markRemoved(r, known)
 	if !ok {
 		return nil
 	}
@@ -260,7 +269,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.changeLog.removals)) {
 		if r := d.changeLog.removals[id]; !delta.Full && r.version > v {
-			delta.Removals = append(delta.Removals, Removal{ID: id, Revision: r.revision})
+			delta.Removals = append(delta.Removals, r.Removal)
 		}
 	}
 	delta.Departures = d.departuresSince(v)
@@ -275,7 +284,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.missing {
-		upTo = min(upTo, d.removed[id]-1)
+		before := d.removed[id].Revision
+		before.Number--
+		upTo = MinRevision(upTo, before)
 	}
 	return upTo
 }
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -18,24 +18,34 @@
 	Put    hysmember.SearcherID `json:"put"`
 	Remove hysmember.SearcherID `json:"remove"`
 	// Leaves is a searcher that announces that it is leaving.
-	Leaves    hysmember.SearcherID    `json:"leaves"`
-	Replace   *[]hysmember.SearcherID `json:"replace"`
-	Settle    *[]hysmember.SearcherID `json:"settle"`
-	Lose      bool                    `json:"lose"`
-	Regain    bool                    `json:"regain"`
-	Rev       hysmember.Revision      `json:"rev"`
-	StartTime int64                   `json:"born"`
-	Seq       int64                   `json:"seq"`
-	Slots     int                     `json:"slots"`
-	Drains    json.RawMessage         `json:"leaving"`
-	Want      string                  `json:"want"`
+	Leaves  hysmember.SearcherID    `json:"leaves"`
+	Replace *[]hysmember.SearcherID `json:"replace"`
+	Settle  *[]hysmember.SearcherID `json:"settle"`
+	Lose    bool                    `json:"lose"`
+	Regain  bool                    `json:"regain"`
+	Rev     int64                   `json:"rev"`
+	// Era is the era of the revision, BeginEra one that the store has begun.
+	Era       hysmember.Era   `json:"era"`
+	BeginEra  bool            `json:"begin-era"`
+	StartTime int64           `json:"born"`
+	Seq       int64           `json:"seq"`
+	Slots     int             `json:"slots"`
+	Drains    json.RawMessage `json:"leaving"`
+	Want      string          `json:"want"`
 	// Settled is the confirmed revision, of at most 100.
-	Settled hysmember.Revision      `json:"settled"`
+	Settled int64                   `json:"settled"`
 	Listed  *[]hysmember.SearcherID `json:"listed"`
 }
 
-func entry(id hysmember.SearcherID, rev hysmember.Revision) hysmember.Entry {
-	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id}, Revision: rev}
+// revision returns a revision of the first era.
+func revision(number int64) hysmember.Revision { return hysmember.Revision{Number: number} }
+
+func entry(id hysmember.SearcherID, number int64) hysmember.Entry {
+	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id}, Revision: revision(number)}
+}
+
+func (s directoryStep) revision() hysmember.Revision {
+	return hysmember.Revision{Era: s.Era, Number: s.Rev}
 }
 
 func (s directoryStep) run(d *hysmember.Directory, now time.Time) {
@@ -43,6 +53,7 @@
 	switch {
 	case s.Put != "":
 		e := entry(s.Put, s.Rev)
+		e.Revision = s.revision()
 		e.StartTime, e.Sequence, e.Slots, e.Searcher.Leaving = s.StartTime, s.Seq, s.Slots, string(s.Drains) == "true"
 		change, _ = d.Put(e)
 		Expect(change.Kind.String()).To(Equal(s.kind()))
@@ -50,14 +61,18 @@
 		change, _ = d.MarkLeaving(hysmember.Departure{ID: s.Leaves, StartTime: s.StartTime})
 		Expect(change.Kind.String()).To(Equal(s.kind()))
 	case s.Remove != "":
-		change, _ = d.Remove(s.Remove, s.Rev, now)
+		change, _ = d.Remove(s.Remove, s.revision(), now)
 		Expect(change.Kind.String()).To(Equal(s.kind()))
+	case s.BeginEra:
+		d.BeginEra(now)
 	case s.Replace != nil:
 		var entries hysmember.Entries
 		for _, id := range *s.Replace {
-			entries = append(entries, entry(id, s.Rev))
+			e := entry(id, s.Rev)
+			e.Revision, e.StartTime, e.Sequence = s.revision(), s.StartTime, s.Seq
+			entries = append(entries, e)
 		}
-		d.Replace(entries, s.Rev, now)
+		d.Replace(entries, s.revision(), now)
 	case s.Settle != nil:
 		gone := []hysmember.SearcherID{}
 		for _, c := range d.ExpireMissing(now) {
@@ -84,7 +99,7 @@
 // checkState compares the directory with what the step expects.
 func (s directoryStep) checkState(d *hysmember.Directory) {
 	if s.Settled != 0 {
-		Expect(d.ConfirmedRevision(100)).To(Equal(s.Settled))
+		Expect(d.ConfirmedRevision(revision(100))).To(Equal(revision(s.Settled)))
 		return
 	}
 	listed, leaving := []hysmember.SearcherID{}, []hysmember.SearcherID{}
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -27,7 +27,7 @@
 	if !alone || !f.settings.FirstStart {
 		close(f.peersKnown)
 	}
-	lease := f.keepAnnounced(ctx, 0)
+	lease := f.keepAnnounced(ctx, announcement{})
 	sleep(ctx, startupWindow)
 	if alone && f.settings.FirstStart {
 		// All daemons start at the same time: by now they have announced
@@ -39,11 +39,24 @@
 		if !f.following.Load() {
 			f.readSharedState(ctx)
 		}
-		sleep(ctx, renewInterval)
+		f.awaitRenewal(ctx)
 		lease = f.keepAnnounced(ctx, lease)
 	}
 }
 
+// awaitRenewal waits until the announcement must be renewed, or made again because the
+// store may have lost it.
+func (f *Front) awaitRenewal(ctx context.Context) {
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.announceAgain:
+		sleep(ctx, f.announceDelay())
+	}
+}
+
 // listSpreadTime is the time within which all daemons know a new one.
 const listSpreadTime = 2 * renewInterval
 
@@ -80,6 +93,7 @@
 // share of the budgets to their number, and updates the dispatcher's replicas.
 func (f *Front) setInstances(instances hysmember.Instances) {
 	f.mu.Lock()
+	instances = f.withUnlisted(instances)
 	changed := !slices.Equal(f.announced, instances)
 	if changed {
 		f.announced, f.instancesChanged = instances, f.directory.BumpVersion()
@@ -105,21 +119,32 @@
 	return hysmember.Instance{ID: s.Instance, Address: s.PeerAddress, Zone: s.Zone, Region: s.Region, ProcessorShare: s.ProcessorShare}
 }
 
+// announcement is the lease of this instance's announcement, and the era of the store in
+// which it was granted. In a later era the lease is lost, and its id may be another's.
+type announcement struct {
+	lease LeaseID
+	era   hysmember.Era
+}
+
 // keepAnnounced renews the lease of the announcement. If that fails it announces
 // the instance again: the lease has expired, or it is of no use since the store is
-// unavailable. It returns the lease in force, 0 if there is none.
-func (f *Front) keepAnnounced(ctx context.Context, lease LeaseID) LeaseID {
-	if lease != 0 {
-		err := f.source.Renew(ctx, lease)
+// unavailable. It returns the announcement in force, whose lease is 0 if there is none.
+func (f *Front) keepAnnounced(ctx context.Context, a announcement) announcement {
+	era := f.eras.Current()
+	if a.lease != 0 && a.era == era {
+		err := f.source.Renew(ctx, a.lease)
 		if err == nil {
-			return lease
+			return a
 		}
-		f.log.Warn("announcement lease not renewed", "lease", lease, "error", err)
+		f.log.Warn("announcement lease not renewed", "lease", a.lease, "error", err)
 	}
 	lease, err := f.source.Announce(ctx, f.self(), max(announceLease, f.settings.MinLease))
 	if err != nil {
 		f.log.Warn("instance not announced", "error", err)
-		return 0
+		return announcement{}
+	}
+	if a.era != era && a.era != 0 {
+		f.log.Info("instance announced again", "era", era, "before", a.era)
 	}
-	return lease
+	return announcement{lease: lease, era: era}
 }
--- a/io/hysfront/apply.go
+++ b/io/hysfront/apply.go
@@ -38,6 +38,7 @@
 	// After an outage of the store, entries that are missing now may still
 	// reappear.
 	f.storeServed(0)
+	f.observeEra(s.Revision.Era)
 	for _, m := range s.Malformed {
 		f.log.Warn("malformed searcher entry ignored", "searcher", m.ID, "revision", m.Revision, "error", m.Err)
 	}
--- a/io/hysfront/callers_test.go
+++ b/io/hysfront/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hyssopshore/internal/hystest"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +57,7 @@
 	var s *store
 
 	BeforeEach(func() {
-		s = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}}
+		s = &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}}
 	})
 
 	It("are those of the configuration", func() {
@@ -77,9 +78,9 @@
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
 		early := connect(d)
 		Expect(early.request()).To(Equal(http.StatusOK))
-		next := &store{version: 2, revision: 8, limits: hysroute.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
+		next := &store{version: 2, revision: hystest.Revision(8), limits: hysroute.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}
 		s.withLock(func() {
-			s.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: 8, Events: 1}}
+			s.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: hystest.Revision(8), Events: 1}}
 		})
 		Eventually(d.log.String, "2s").Should(ContainSubstring(`"version":2`))
 		late := connect(d)
--- a/io/hysfront/departure_test.go
+++ b/io/hysfront/departure_test.go
@@ -1,6 +1,7 @@
 package hysfront_test
 
 import (
+	"hyssopshore/internal/hystest"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -39,7 +40,7 @@
 	DeferCleanup(server.Close)
 	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
 	s.entry = hysmember.Entry{
-		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 2, StartTime: 10, Revision: 1,
+		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 2, StartTime: 10, Revision: hystest.Revision(1),
 	}
 	return s
 }
@@ -50,8 +51,8 @@
 	s.withLock(func() {
 		var updates []hysfront.Update
 		for range count {
-			s.revision++
-			e.Revision, e.Sequence = s.revision, int64(s.revision)
+			s.revision.Number++
+			e.Revision, e.Sequence = s.revision, s.revision.Number
 			updates = append(updates, hysfront.Update{ID: e.Searcher.ID, Entry: e, Revision: e.Revision})
 		}
 		s.changes = append(s.changes, hysfront.Changes{Revision: s.revision, Events: count, Updates: updates})
@@ -61,7 +62,7 @@
 var _ = Describe("a searcher that announces in its responses that it is leaving", func() {
 	It("gets no new requests even if it is listed as ready, until it has restarted", func() {
 		leaving := newLeavingSearcher("s-1", "roll")
-		s := &store{version: 1, revision: 5, entries: hysmember.Entries{leaving.entry}}
+		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{leaving.entry}}
 		d := start(s, "127.0.0.21")
 		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
 		status, _ := d.request()
@@ -88,7 +89,7 @@
 		// The others are far, so that the leaving ones are tried first.
 		healthy.Searcher.Zone, other.Searcher.Zone = "far", "far"
 		s := &store{
-			version: 1, revision: 5, shards: []hysservice.Name{"desk", "ledger"},
+			version: 1, revision: hystest.Revision(5), shards: []hysservice.Name{"desk", "ledger"},
 			entries: hysmember.Entries{failed.entry, queried.entry, late.entry, healthy, other},
 		}
 		d := start(s, "127.0.0.22")
@@ -105,7 +106,7 @@
 
 	It("is not used again by a daemon that is restarted while the store is unavailable", func() {
 		leaving := newLeavingSearcher("s-1", "roll")
-		informed := start(&store{version: 1, revision: 5, entries: hysmember.Entries{leaving.entry}}, "127.0.0.33")
+		informed := start(&store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{leaving.entry}}, "127.0.0.33")
 		Eventually(informed.ready, "3s").Should(Equal(http.StatusOK))
 		informed.request()
 		Eventually(informed.log.String, "1s").Should(ContainSubstring("searcher announced that it is leaving"))
@@ -130,7 +131,7 @@
 			readers = append(readers, d)
 		}
 		for _, d := range append(readers, followers...) {
-			d.start(&store{version: 1, revision: 5, entries: hysmember.Entries{leaving.entry}, peers: all})
+			d.start(&store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{leaving.entry}, peers: all})
 			Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
 		}
 		for _, d := range followers {
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -62,7 +62,7 @@
 
 // progress is how far a daemon has followed the store.
 type progress struct {
-	// after is the revision from which the next watch continues; 0 if the full
+	// after is the revision from which the next watch continues; zero if the full
 	// state must be read.
 	after    hysmember.Revision
 	failures int
@@ -115,7 +115,7 @@
 		return false
 	}
 	pullCtx, stop := f.untilRequestWaits(ctx)
-	age, err := f.pullFrom(pullCtx, reader, followWait, f.maxReaderAge())
+	age, err := f.pullFrom(pullCtx, reader, pull{wait: followWait, maxAge: f.maxReaderAge(), follows: true})
 	stop()
 	if err != nil {
 		p.directReadUntil = time.Now().Add(f.directReadTime(*p))
@@ -128,7 +128,7 @@
 	if !f.following.Load() {
 		f.log.Info("following reader", "reader", reader.ID, "revision", f.storeView.appliedRevision(), "age-ms", age.Milliseconds())
 	}
-	p.after, p.failures = max(p.after, f.storeView.appliedRevision()), 0
+	p.after, p.failures = hysmember.MaxRevision(p.after, f.storeView.appliedRevision()), 0
 	return true
 }
 
@@ -207,10 +207,10 @@
 // followStore reads from the store what this daemon does not have yet. It returns
 // the time until the next read.
 func (f *Front) followStore(ctx context.Context, p *progress) time.Duration {
-	if p.after > 0 {
+	if !p.after.IsZero() {
 		// Another daemon may have sent changes that this daemon has not read from
 		// the store.
-		p.after = max(p.after, f.storeView.appliedRevision())
+		p.after = hysmember.MaxRevision(p.after, f.storeView.appliedRevision())
 	}
 	next, delay, err := f.readStore(ctx, p.after)
 	switch {
@@ -219,7 +219,10 @@
 		f.storeView.advance(next)
 	case errors.Is(err, ErrHistoryCompacted):
 		f.log.Info("watch history compacted; reading the full state again", "after", p.after)
-		p.after = 0
+		p.after = hysmember.Revision{}
+	case errors.Is(err, ErrEraChanged):
+		f.log.Info("the store has begun another era; reading the full state again", "after", p.after, "era", f.eras.Current())
+		p.after, delay = hysmember.Revision{}, catchUpInterval
 	case ctx.Err() == nil:
 		f.storeFailed(err)
 		delay = min(minErrorBackoff<<min(p.failures, maxBackoffDoublings), maxErrorBackoff)
@@ -231,26 +234,33 @@
 // readStore reads the full state, or the changes after a revision. It returns the
 // revision from which the next call continues, and the time until then.
 func (f *Front) readStore(ctx context.Context, after hysmember.Revision) (hysmember.Revision, time.Duration, error) {
-	if after == 0 {
+	if after.IsZero() {
 		began := time.Now()
 		s, err := f.source.Read(ctx)
 		if err != nil {
-			return 0, 0, fmt.Errorf("read the full state: %w", err)
+			return hysmember.Revision{}, 0, fmt.Errorf("read the full state: %w", err)
 		}
 		f.applySnapshot(s)
 		f.storeView.markComplete(began)
 		return s.Revision, 0, nil
 	}
-	c, err := f.source.Watch(ctx, after, f.watchWait())
+	// What the store has lost, and what it has given out again, is found only by reading
+	// all of it.
+	watchCtx, stop := f.untilEraEnds(ctx, after.Era)
+	c, err := f.source.Watch(watchCtx, after, f.watchWait())
+	stop()
+	if current := f.eras.Current(); current != after.Era || err == nil && c.Revision.Era != after.Era {
+		return hysmember.Revision{}, 0, fmt.Errorf("watch after %v: %w", after, ErrEraChanged)
+	}
 	if err != nil {
-		return 0, 0, fmt.Errorf("watch after %d: %w", after, err)
+		return hysmember.Revision{}, 0, fmt.Errorf("watch after %v: %w", after, err)
 	}
-	if c.Events == 0 && c.Revision > after {
+	if c.Events == 0 && after.Before(c.Revision) {
 		// The store has changed, but the watch has reported no change.
-		return 0, 0, fmt.Errorf("watch after %d reported no change up to %d: %w", after, c.Revision, ErrHistoryCompacted)
+		return hysmember.Revision{}, 0, fmt.Errorf("watch after %v reported no change up to %v: %w", after, c.Revision, ErrHistoryCompacted)
 	}
 	changed := f.applyChanges(c)
-	return max(after, c.Revision), f.nextReadDelay(c, changed), nil
+	return hysmember.MaxRevision(after, c.Revision), f.nextReadDelay(c, changed), nil
 }
 
 // watchWait returns how long a watch waits for the next change: until the state is as
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -69,8 +69,10 @@
 	// droppedLines returns the number of log lines that were dropped.
 	droppedLines func() int64
 	directory    *hysmember.Directory
-	forward      *hysforward.Client
-	dispatcher   *hysdispatch.Dispatcher
+	// eras follows the era of the store.
+	eras       *hysmember.Eras
+	forward    *hysforward.Client
+	dispatcher *hysdispatch.Dispatcher
 	// prober finds out which searchers this daemon can reach, and reach holds that.
 	prober       *hysprobe.Prober
 	reach        *hysreach.Tracker
@@ -79,6 +81,8 @@
 	suspects     *hysquarantine.Tracker
 	// evidenceQueue holds the crash evidence that is to be written to the store.
 	evidenceQueue chan hysquarantine.Record
+	// announceAgain receives a value when this instance must announce itself again.
+	announceAgain chan struct{}
 	// peersKnown is closed once the daemon has read the list of the other daemons,
 	// or the store has failed to return it.
 	peersKnown chan struct{}
@@ -91,7 +95,9 @@
 	expiryScheduled atomic.Bool
 	// searchersKnown is set once the list of searchers is known.
 	searchersKnown atomic.Bool
-	draining       atomic.Bool
+	// peersAsked is set once another daemon has sent what it knows.
+	peersAsked atomic.Bool
+	draining   atomic.Bool
 	// instanceCount is the number of daemons that share the budgets and the
 	// connections.
 	instanceCount atomic.Int64
@@ -142,6 +148,13 @@
 	suspectsChanged hysmember.Version
 	// announced are all announced instances, as last read.
 	announced hysmember.Instances
+	// era is the era of the store that this daemon has acted on, eraBegan when it did so.
+	// listSettlesAt is when all daemons have announced themselves in it.
+	era           hysmember.Era
+	eraBegan      time.Time
+	listSettlesAt time.Time
+	// ownEvidence is the crash evidence that this daemon has written to the store.
+	ownEvidence map[hysquarantine.Key]hysquarantine.Record
 	// instancesChanged and configurationChanged are the versions of the directory
 	// at which these last changed.
 	instancesChanged     hysmember.Version
@@ -194,9 +207,16 @@
 		suspects:  hysquarantine.NewTracker(time.Now),
 
 		evidenceQueue: make(chan hysquarantine.Record, evidenceQueueLength),
+		announceAgain: make(chan struct{}, 1),
+		ownEvidence:   make(map[hysquarantine.Key]hysquarantine.Record),
+		eras:          source.Eras,
 
 		droppedLines: func() int64 { return 0 },
 	}
+	if f.eras == nil {
+		f.eras = hysmember.NewEras()
+	}
+	f.eras.Problem = f.logEraProblem
 	f.instanceCount.Store(defaultInstanceCount)
 	f.prober = hysprobe.New(f.log)
 	f.reach = f.prober.Tracker
@@ -240,9 +260,9 @@
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	wait := f.startLoops(background)
 	f.log.Info("started", "callers", f.settings.CallerAddress, "readiness", f.settings.ReadinessAddress,
 		"store", f.settings.StoreAddress, "zone", f.settings.Zone, "stop-grace", f.settings.StopGrace)
+	wait := f.startLoops(background)
 	f.serve(ctx, reload)
 	f.drain(ports)
 	stop()
@@ -280,6 +300,7 @@
 func (f *Front) startLoops(ctx context.Context) *sync.WaitGroup {
 	var wait sync.WaitGroup
 	wait.Go(func() { f.follow(ctx) })
+	wait.Go(func() { f.followEras(ctx) })
 	wait.Go(func() { f.announce(ctx) })
 	wait.Go(func() { f.syncFromPeers(ctx) })
 	wait.Go(func() { f.dispatcher.Run(ctx) })
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -56,6 +56,10 @@
 	holdsWatches bool
 	peers        hysmember.Instances
 	limits       hysroute.Limits
+	// eras are those that the store states, nil if it states none.
+	eras *hysmember.Eras
+	// announcements counts them.
+	announcements int
 	// evidence holds the crash evidence that was written.
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
@@ -115,7 +119,8 @@
 			s.watches++
 			s.after = after
 			if s.backlog {
-				return hysfront.Changes{Revision: after + 1, Events: 500, More: true}, nil
+				after.Number++
+				return hysfront.Changes{Revision: after, Events: 500, More: true}, nil
 			}
 			if len(s.changes) == 0 {
 				wait := s.watchWait
@@ -139,7 +144,11 @@
 			c.Raw = raw
 			return c, err
 		},
+		Eras: s.eras,
 		Announce: func(context.Context, hysmember.Instance, time.Duration) (hysfront.LeaseID, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.announcements++
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
@@ -277,14 +286,14 @@
 	}))
 	DeferCleanup(server.Close)
 	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
-	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id, Service: "roll", Address: address, Zone: "z"}, Slots: 2, Revision: 1}
+	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id, Service: "roll", Address: address, Zone: "z"}, Slots: 2, Revision: hystest.Revision(1)}
 }
 
 var _ = Describe("a frontend daemon", func() {
 	var s *store
 
 	BeforeEach(func() {
-		s = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}}
+		s = &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}}
 	})
 
 	It("is ready once it has the configuration and the list of searchers, and serves", func() {
@@ -318,11 +327,11 @@
 	It("applies a newer configuration and never reverts to an older one", func() {
 		d := start(s, "127.0.0.3")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
-		newer, older := &store{version: 4, revision: 8}, &store{version: 2, revision: 9}
+		newer, older := &store{version: 4, revision: hystest.Revision(8)}, &store{version: 2, revision: hystest.Revision(9)}
 		s.withLock(func() {
 			s.changes = []hysfront.Changes{
-				{Configuration: newer.configuration(), Revision: 8, Events: 1},
-				{Configuration: older.configuration(), Revision: 9, Events: 1},
+				{Configuration: newer.configuration(), Revision: hystest.Revision(8), Events: 1},
+				{Configuration: older.configuration(), Revision: hystest.Revision(9), Events: 1},
 			}
 		})
 		Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.changes) }, "3s").Should(BeZero())
@@ -335,9 +344,9 @@
 		d := start(s, "127.0.0.60")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
 		moved := searcher("s-1 moved", 0)
-		moved.Searcher.ID, moved.Sequence, moved.Revision = "s-1", 2, 8
+		moved.Searcher.ID, moved.Sequence, moved.Revision = "s-1", 2, hystest.Revision(8)
 		s.withLock(func() {
-			s.changes = []hysfront.Changes{{Updates: []hysfront.Update{{ID: "s-1", Entry: moved, Revision: 8}}, Revision: 8, Events: 1}}
+			s.changes = []hysfront.Changes{{Updates: []hysfront.Update{{ID: "s-1", Entry: moved, Revision: hystest.Revision(8)}}, Revision: hystest.Revision(8), Events: 1}}
 		})
 		Eventually(func() string { _, body := d.request(); return body }, "2s").Should(Equal("s-1 moved"))
 	})
@@ -346,8 +355,8 @@
 		d := start(s, "127.0.0.4")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
 		s.withLock(func() {
-			s.version, s.revision = 6, 20
-			s.changes = []hysfront.Changes{{Revision: 20}}
+			s.version, s.revision = 6, hystest.Revision(20)
+			s.changes = []hysfront.Changes{{Revision: hystest.Revision(20)}}
 		})
 		Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.reads }, "2s").Should(Equal(2))
 		Eventually(d.log.String, "2s").Should(ContainSubstring(`"version":6`))
@@ -356,12 +365,12 @@
 	It("catches up without delay when the store has more changes than one watch returns", func() {
 		d := start(s, "127.0.0.26")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
-		newer := &store{version: 8, revision: 6000}
+		newer := &store{version: 8, revision: hystest.Revision(6000)}
 		s.withLock(func() {
-			for revision := hysmember.Revision(500); revision < 6000; revision += 500 {
+			for revision := hystest.Revision(500); revision.Number < 6000; revision.Number += 500 {
 				s.changes = append(s.changes, hysfront.Changes{Revision: revision, Events: 500, More: true})
 			}
-			s.changes = append(s.changes, hysfront.Changes{Configuration: newer.configuration(), Revision: 6000, Events: 1})
+			s.changes = append(s.changes, hysfront.Changes{Configuration: newer.configuration(), Revision: hystest.Revision(6000), Events: 1})
 		})
 		Eventually(d.log.String, d.settings.ApplyWithin).Should(ContainSubstring(`"version":8`))
 	})
@@ -376,12 +385,12 @@
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(body).To(Equal("s-1"))
 		draining := s.entries[0]
-		draining.Searcher.Leaving, draining.Sequence, draining.Revision = true, 9, 30
+		draining.Searcher.Leaving, draining.Sequence, draining.Revision = true, 9, hystest.Revision(30)
 		fresh := searcher("s-2", 0)
-		fresh.Revision = 31
+		fresh.Revision = hystest.Revision(31)
 		s.withLock(func() {
-			s.changes = []hysfront.Changes{{Revision: 31, Events: 2, Updates: []hysfront.Update{
-				{ID: "s-1", Entry: draining, Revision: 30}, {ID: "s-2", Entry: fresh, Revision: 31},
+			s.changes = []hysfront.Changes{{Revision: hystest.Revision(31), Events: 2, Updates: []hysfront.Update{
+				{ID: "s-1", Entry: draining, Revision: hystest.Revision(30)}, {ID: "s-2", Entry: fresh, Revision: hystest.Revision(31)},
 			}}}
 		})
 		Eventually(func() string { _, body := d.request(); return body }, "3s").Should(Equal("s-2"))
--- a/io/hysfront/gather_test.go
+++ b/io/hysfront/gather_test.go
@@ -45,7 +45,7 @@
 	DeferCleanup(server.Close)
 	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
 	s.entry = hysmember.Entry{
-		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 4, StartTime: 10, Revision: 1,
+		Searcher: hysmember.Searcher{ID: id, Service: service, Address: address, Zone: "z"}, Slots: 4, StartTime: 10, Revision: hystest.Revision(1),
 	}
 	return s
 }
@@ -112,7 +112,7 @@
 		}
 		desk, ledger = newCountedSearcher("s-1", "desk"), newCountedSearcher("s-2", "ledger")
 		sharedStore = &store{
-			version: 1, revision: 5, shards: []hysservice.Name{"desk", "ledger"}, peers: all,
+			version: 1, revision: hystest.Revision(5), shards: []hysservice.Name{"desk", "ledger"}, peers: all,
 			entries: hysmember.Entries{desk.entry, ledger.entry},
 		}
 		for _, d := range []*daemon{gatherer, entry} {
@@ -255,10 +255,10 @@
 
 	It("is not gathered with an older configuration than that of the entry instance", func() {
 		startAll(60, "127.0.0.1:1")
-		newer := &store{version: 9, revision: 90, shards: sharedStore.shards}
+		newer := &store{version: 9, revision: hystest.Revision(90), shards: sharedStore.shards}
 		sharedStore.withLock(func() {
 			// Only one of the two watches returns the change.
-			sharedStore.changes = []hysfront.Changes{{Configuration: newer.configuration(), Revision: 90, Events: 1}}
+			sharedStore.changes = []hysfront.Changes{{Configuration: newer.configuration(), Revision: hystest.Revision(90), Events: 1}}
 		})
 		updatedInstance := func() string {
 			for _, d := range []*daemon{entry, gatherer} {
--- a/io/hysfront/limit_test.go
+++ b/io/hysfront/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hyssopshore/internal/hystest"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -48,7 +49,7 @@
 	DeferCleanup(server.Close)
 	address := hysmember.Address(strings.TrimPrefix(server.URL, "http://"))
 	s.entry = hysmember.Entry{
-		Searcher: hysmember.Searcher{ID: id, Service: "roll", Address: address, Zone: "z"}, Slots: 8, StartTime: 10, Revision: 1,
+		Searcher: hysmember.Searcher{ID: id, Service: "roll", Address: address, Zone: "z"}, Slots: 8, StartTime: 10, Revision: hystest.Revision(1),
 	}
 	return s
 }
@@ -125,7 +126,7 @@
 	for number, script := range scripts {
 		It("is not exceeded, and is used: "+script.Name, func() {
 			var searchers []*limitedSearcher
-			shared := &store{version: 1, revision: 5}
+			shared := &store{version: 1, revision: hystest.Revision(5)}
 			for n := range script.Searchers {
 				limit := ""
 				if n < script.Limited {
--- a/io/hysfront/missing_test.go
+++ b/io/hysfront/missing_test.go
@@ -1,6 +1,7 @@
 package hysfront_test
 
 import (
+	"hyssopshore/internal/hystest"
 	"net/http"
 	"time"
 
@@ -18,14 +19,14 @@
 
 	It("is not used until a long watch returns", func() {
 		searcher := newCountedSearcher("s-1", "roll")
-		s := &store{version: 1, revision: 5, entries: hysmember.Entries{searcher.entry}}
+		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher.entry}}
 		d := start(s, "127.0.0.96")
 		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
 		s.withLock(func() { s.unavailable = true })
 		Eventually(d.log.String, "3s").Should(ContainSubstring("store unavailable"))
 		s.withLock(func() {
 			s.unavailable, s.watchWait = false, 1900*time.Millisecond
-			s.changes = []hysfront.Changes{{Revision: 7, Events: 1, Updates: []hysfront.Update{{ID: "s-1", Revision: 7, Removed: true}}}}
+			s.changes = []hysfront.Changes{{Revision: hystest.Revision(7), Events: 1, Updates: []hysfront.Update{{ID: "s-1", Revision: hystest.Revision(7), Removed: true}}}}
 		})
 		Eventually(d.log.String, "3s").Should(ContainSubstring("store available again"))
 		Eventually(d.log.String, longestUse).Should(ContainSubstring("searcher gone"))
--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -32,7 +32,7 @@
 		f.metrics.Set(hysmetrics.Gauges{
 			Ready: f.ready(), Leaving: f.draining.Load(), StoreAge: f.store.age(), Staleness: f.storeView.age(),
 			MembersListed: len(entries), MembersUsable: usable,
-			Instances: f.instanceCount.Load(), DroppedLines: f.droppedLines(),
+			Instances: f.instanceCount.Load(), DroppedLines: f.droppedLines(), StoreEra: int64(f.eras.Current()),
 		})
 		f.metrics.SetReach(f.reach.Status())
 		f.metrics.SetLimits(hyspermit.Metrics(f.dispatcher.LimitedSearchers()))
--- a/io/hysfront/partition_crash_test.go
+++ b/io/hysfront/partition_crash_test.go
@@ -23,7 +23,7 @@
 		}
 		d := newLinkedDaemon("127.0.66.1", searchers)
 		s := &store{
-			version: 1, revision: 5, entries: d.entries, peers: hysmember.Instances{d.instance()}, goal: partitionGoal, books: true,
+			version: 1, revision: hystest.Revision(5), entries: d.entries, peers: hysmember.Instances{d.instance()}, goal: partitionGoal, books: true,
 			shards: []hysservice.Name{"desk", "ledger"}, watchWait: 100 * time.Millisecond,
 		}
 		d.start(s)
--- a/io/hysfront/partition_test.go
+++ b/io/hysfront/partition_test.go
@@ -71,7 +71,7 @@
 		Searcher: hysmember.Searcher{
 			ID: id, Service: service, Address: hysmember.Address(strings.TrimPrefix(server.URL, "http://")), Zone: "z",
 		},
-		Slots: 8, StartTime: 10, Revision: 1,
+		Slots: 8, StartTime: 10, Revision: hystest.Revision(1),
 	}
 }
 
@@ -261,7 +261,7 @@
 			}
 			for _, d := range daemons {
 				d.start(&store{
-					version: 1, revision: 5, entries: d.entries, peers: peers, goal: partitionGoal, books: true,
+					version: 1, revision: hystest.Revision(5), entries: d.entries, peers: peers, goal: partitionGoal, books: true,
 					shards: []hysservice.Name{"desk", "ledger"}, watchWait: 100 * time.Millisecond,
 				})
 			}
--- a/io/hysfront/quarantine.go
+++ b/io/hysfront/quarantine.go
@@ -14,6 +14,8 @@
 // Bounds of the crash evidence that is written to the store.
 const (
 	evidenceQueueLength = 64
+	// maxOwnEvidence bounds the records that are kept to be written again.
+	maxOwnEvidence = 64
 	// evidenceWriteInterval is the minimum time between two writes.
 	evidenceWriteInterval = 200 * time.Millisecond
 	// evidenceLease is how long a record stays in the store. The daemons keep it
@@ -78,6 +80,11 @@
 // of their own.
 func (f *Front) queueEvidence(r hysquarantine.Record) {
 	f.markSuspectsChanged()
+	f.keepEvidence(r, time.Now())
+	f.enqueueEvidence(r)
+}
+
+func (f *Front) enqueueEvidence(r hysquarantine.Record) {
 	select {
 	case f.evidenceQueue <- r:
 	default:
--- a/io/hysfront/quarantine_test.go
+++ b/io/hysfront/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hyssopshore/internal/hystest"
 	"net"
 	"net/http"
 	"strings"
@@ -32,7 +33,7 @@
 	})
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(func() { _ = server.Close() })
-	return hysmember.Entry{Slots: 2, Revision: 1, StartTime: 7, Searcher: hysmember.Searcher{
+	return hysmember.Entry{Slots: 2, Revision: hystest.Revision(1), StartTime: 7, Searcher: hysmember.Searcher{
 		ID: id, Service: "roll", Address: hysmember.Address(listener.Addr().String()), Zone: "z",
 	}}
 }
@@ -44,7 +45,7 @@
 
 	BeforeEach(func() {
 		crashes = make(chan hysmember.SearcherID, searchers)
-		s = &store{version: 1, revision: 5}
+		s = &store{version: 1, revision: hystest.Revision(5)}
 		for i := range searchers {
 			s.entries = append(s.entries, crashingSearcher(hysmember.SearcherID(fmt.Sprint("s-", i)), crashes))
 		}
@@ -62,6 +63,24 @@
 		return most
 	}
 
+	It("is told to the store again once that has come back from a copy", func() {
+		s.eras, s.revision = hysmember.NewEras(), hysmember.Revision{Era: 1, Number: 5}
+		s.eras.Raise(1)
+		d := start(s, "127.0.0.67")
+		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
+		d.requestPath("/poison")
+		var crashed hysmember.SearcherID
+		Expect(crashes).To(Receive(&crashed))
+		revision := hysmember.Revision{Era: 1, Number: 10}
+		s.withLock(func() {
+			s.changes = []hysfront.Changes{{Revision: revision, Events: 1, Updates: []hysfront.Update{{ID: crashed, Removed: true, Revision: revision}}}}
+		})
+		Eventually(attributedCrashes, "4s").Should(Equal(1))
+		s.withLock(func() { s.evidence = nil })
+		s.beginEra(2, 6)
+		Eventually(attributedCrashes, "2s").Should(Equal(1))
+	})
+
 	It("is refused after the third crash, at the other daemons too", func() {
 		d := start(s, "127.0.0.20")
 		Eventually(d.ready, "2s").Should(Equal(http.StatusOK))
@@ -70,7 +89,7 @@
 			Expect(status).To(Equal(http.StatusBadGateway), "try %d", i)
 			var crashed hysmember.SearcherID
 			Expect(crashes).To(Receive(&crashed))
-			revision := hysmember.Revision(10 + i)
+			revision := hystest.Revision(int64(10 + i))
 			s.withLock(func() {
 				s.changes = []hysfront.Changes{{Revision: revision, Events: 1, Updates: []hysfront.Update{{ID: crashed, Removed: true, Revision: revision}}}}
 			})
@@ -85,11 +104,11 @@
 
 		var records hysquarantine.Records
 		s.withLock(func() { records = s.evidence })
-		other := &store{version: 1, revision: 5, entries: s.entries}
+		other := &store{version: 1, revision: hystest.Revision(5), entries: s.entries}
 		second := start(other, "127.0.0.21")
 		Eventually(second.ready, "2s").Should(Equal(http.StatusOK))
 		other.withLock(func() {
-			other.changes = []hysfront.Changes{{Evidence: hysfront.CrashEvidence{Records: records}, Revision: 9, Events: 1}}
+			other.changes = []hysfront.Changes{{Evidence: hysfront.CrashEvidence{Records: records}, Revision: hystest.Revision(9), Events: 1}}
 		})
 		Eventually(second.log.String, 2*time.Second).Should(ContainSubstring("crash evidence received"))
 		status, _ = second.requestPath("/poison")
--- a/io/hysfront/query_bench_test.go
+++ b/io/hysfront/query_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hyssopshore/internal/hystest"
 	"io"
 	"log/slog"
 	"net"
@@ -72,7 +73,7 @@
 		route.Shards = append(route.Shards, name)
 		for c := range copies {
 			address := quickSearcher(b, strings.Repeat("r", 160))
-			entries = append(entries, hysmember.Entry{Slots: 4, Revision: 1, Searcher: hysmember.Searcher{
+			entries = append(entries, hysmember.Entry{Slots: 4, Revision: hystest.Revision(1), Searcher: hysmember.Searcher{
 				ID: hysmember.SearcherID(fmt.Sprint(name, "-", c)), Service: name, Address: address, Zone: "z",
 			}})
 		}
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -49,8 +49,8 @@
 			reader, follower = follower, reader
 		}
 		proxyTo(reader, all)
-		readerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
-		followerStore = &store{version: 1, revision: 5, entries: entries, peers: all}
+		readerStore = &store{version: 1, revision: hystest.Revision(5), entries: entries, peers: all}
+		followerStore = &store{version: 1, revision: hystest.Revision(5), entries: entries, peers: all}
 		reader.start(readerStore)
 		Eventually(reader.ready, "3s").Should(Equal(http.StatusOK))
 		follower.start(followerStore)
@@ -60,13 +60,13 @@
 	It("applies the changes that it sends, and does not read the store", func() {
 		startBoth("127.0.0.11", "127.0.0.12")
 		before := watchCount(followerStore)()
-		next := &store{version: 4, revision: 30}
+		next := &store{version: 4, revision: hystest.Revision(30)}
 		second := searcher("s-2", 0)
-		second.Revision = 31
+		second.Revision = hystest.Revision(31)
 		readerStore.withLock(func() {
 			readerStore.changes = []hysfront.Changes{{
-				Configuration: next.configuration(), Revision: 31, Events: 3,
-				Updates: []hysfront.Update{{ID: "s-2", Entry: second, Revision: 31}, {ID: "s-1", Removed: true, Revision: 29}},
+				Configuration: next.configuration(), Revision: hystest.Revision(31), Events: 3,
+				Updates: []hysfront.Update{{ID: "s-2", Entry: second, Revision: hystest.Revision(31)}, {ID: "s-1", Removed: true, Revision: hystest.Revision(29)}},
 			}}
 		})
 		Eventually(func() string { _, body := follower.request(); return body }, "2s").Should(Equal("s-2"))
@@ -92,7 +92,7 @@
 		silent, err := net.Listen("tcp", string(other.settings.PeerAddress))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(silent.Close)
-		one.start(&store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all})
+		one.start(&store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, peers: all})
 		var status int
 		var answered time.Duration
 		Eventually(func() int {
@@ -112,7 +112,7 @@
 		reads := 0
 		stores := []*store{}
 		for _, d := range []*daemon{one, other} {
-			s := &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
+			s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
 			stores = append(stores, s)
 			d.start(s)
 		}
@@ -135,8 +135,8 @@
 			one, other = other, one
 		}
 		proxyTo(other, all)
-		followerStore = &store{version: 1, revision: 5, entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
-		other.start(&store{version: 1, revision: 5, entries: followerStore.entries, peers: all})
+		followerStore = &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
+		other.start(&store{version: 1, revision: hystest.Revision(5), entries: followerStore.entries, peers: all})
 		one.start(followerStore)
 		Eventually(one.log.String, "4s", "5ms").Should(ContainSubstring("following reader"))
 		before := watchCount(followerStore)()
@@ -147,9 +147,9 @@
 	It("reads the store itself once the other one has stopped", func() {
 		startBoth("127.0.0.13", "127.0.0.14")
 		reader.stop()
-		next := &store{version: 6, revision: 40}
+		next := &store{version: 6, revision: hystest.Revision(40)}
 		followerStore.withLock(func() {
-			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: 40, Events: 1}}
+			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: hystest.Revision(40), Events: 1}}
 		})
 		Eventually(follower.log.String, "4s").Should(And(
 			ContainSubstring("reader lost"), ContainSubstring(`"msg":"configuration in force","instance":"`+string(follower.settings.Instance)+`","version":6`),
@@ -165,12 +165,12 @@
 			readerStore.unavailable = false
 			// The removal may be a short lapse, so that it takes effect only after
 			// 2.2 s.
-			readerStore.changes = []hysfront.Changes{{Revision: 40, Events: 1, Updates: []hysfront.Update{{ID: "s-1", Removed: true, Revision: 30}}}}
+			readerStore.changes = []hysfront.Changes{{Revision: hystest.Revision(40), Events: 1, Updates: []hysfront.Update{{ID: "s-1", Removed: true, Revision: hystest.Revision(30)}}}}
 		})
 		Eventually(func() bool {
 			readerStore.mu.Lock()
 			defer readerStore.mu.Unlock()
-			return len(readerStore.changes) == 0 && readerStore.after >= 40
+			return len(readerStore.changes) == 0 && readerStore.after.Number >= 40
 		}, "3s").Should(BeTrue())
 		// The follower gets one more reply, then it loses the reader.
 		time.Sleep(700 * time.Millisecond)
@@ -179,7 +179,7 @@
 		Eventually(watchCount(followerStore), "2s").Should(BeNumerically(">", before))
 		followerStore.mu.Lock()
 		defer followerStore.mu.Unlock()
-		Expect(followerStore.after).To(BeNumerically("<", 30), "the removal is read again")
+		Expect(followerStore.after.Number).To(BeNumerically("<", 30), "the removal is read again")
 	})
 
 	It("is followed while hardly any key changes", func() {
@@ -187,7 +187,7 @@
 		readerStore.withLock(func() {
 			readerStore.holdsWatches = true
 			// A key changes that no daemon needs.
-			readerStore.changes = []hysfront.Changes{{Revision: 40, Events: 1}}
+			readerStore.changes = []hysfront.Changes{{Revision: hystest.Revision(40), Events: 1}}
 		})
 		Consistently(follower.log.String, "5s").ShouldNot(ContainSubstring("reader lost"))
 	})
@@ -195,9 +195,9 @@
 	It("reads the store itself while the other one lags behind it", func() {
 		startBoth("127.0.0.27", "127.0.0.28")
 		readerStore.withLock(func() { readerStore.backlog = true })
-		next := &store{version: 9, revision: 5000}
+		next := &store{version: 9, revision: hystest.Revision(5000)}
 		followerStore.withLock(func() {
-			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: 5000, Events: 1}}
+			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: hystest.Revision(5000), Events: 1}}
 		})
 		Eventually(follower.log.String, "3s").Should(ContainSubstring(`"version":9`))
 		Eventually(reader.log.String, "3s").Should(ContainSubstring(`"version":9`), "the reader gets it from the follower")
@@ -206,9 +206,9 @@
 	It("reads the store itself while the store does not serve the other one", func() {
 		startBoth("127.0.0.15", "127.0.0.16")
 		readerStore.withLock(func() { readerStore.unavailable = true })
-		next := &store{version: 7, revision: 50}
+		next := &store{version: 7, revision: hystest.Revision(50)}
 		followerStore.withLock(func() {
-			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: 50, Events: 1}}
+			followerStore.changes = []hysfront.Changes{{Configuration: next.configuration(), Revision: hystest.Revision(50), Events: 1}}
 		})
 		within := hysfront.Settings{}
 		within.Defaults()
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -26,6 +26,8 @@
 	// maxUpdateAge is the maximum age of another daemon's state while the store
 	// does not serve this one.
 	maxUpdateAge = 3 * time.Second
+	// startAskTime is how long after its start a daemon asks others what they know.
+	startAskTime = 2 * time.Second
 	// fullStateInterval is the minimum time between two requests for a full state.
 	fullStateInterval = time.Second
 	// peersPerRound is the maximum number of daemons that are tried in one round.
@@ -53,14 +55,20 @@
 
 // needsPeers reports whether updates must come from other daemons: the store does
 // not serve this one, or this one lags behind the store. A daemon that has just
-// started does not wait for a store that hangs.
+// started does not wait for a store that hangs, and asks others once in any case.
 func (f *Front) needsPeers() bool {
-	return f.store.isUnavailable() || !f.searchersKnown.Load() || f.storeView.age() > f.maxReaderAge()
+	return f.asksAtStart() || f.store.isUnavailable() || !f.searchersKnown.Load() || f.storeView.age() > f.maxReaderAge()
+}
+
+// asksAtStart reports whether this daemon has just started and must still ask others:
+// the store may have come back from a copy that lacks what they know.
+func (f *Front) asksAtStart() bool {
+	return !f.settings.FirstStart && !f.peersAsked.Load() && time.Since(f.started) < startAskTime && len(f.peers()) > 0
 }
 
 // peerSyncDelay returns the time until the next round.
 func (f *Front) peerSyncDelay() time.Duration {
-	if f.configuration() == nil {
+	if f.configuration() == nil || f.asksAtStart() {
 		return firstPeerSyncInterval
 	}
 	return peerSyncInterval
@@ -71,8 +79,12 @@
 func (f *Front) pullFromPeers(ctx context.Context) error {
 	peers := f.peers().ByDistance(f.settings.Zone, f.settings.Region, f.lastPeer)
 	lastErr := fmt.Errorf("pullFromPeers: %w", errNoPeers)
+	maxAge := min(maxUpdateAge, f.storeView.age())
+	if f.asksAtStart() {
+		maxAge = maxUpdateAge
+	}
 	for _, i := range peers[:min(len(peers), peersPerRound)] {
-		if _, err := f.pullFrom(ctx, i, 0, min(maxUpdateAge, f.storeView.age())); err != nil {
+		if _, err := f.pullFrom(ctx, i, pull{maxAge: maxAge}); err != nil {
 			lastErr = fmt.Errorf("pullFromPeers: %w", err)
 			f.lastPeer = ""
 			continue
@@ -92,18 +104,33 @@
 	})
 }
 
+// pull is how updates are requested from another daemon.
+type pull struct {
+	// wait is how long it may wait for updates, maxAge the maximum age of its state.
+	wait   time.Duration
+	maxAge time.Duration
+	// follows is set if no updates come from the store meanwhile.
+	follows bool
+}
+
 // pullFrom requests the updates of another daemon since the last request, and
-// applies them unless the state of that daemon is older than maxAge. It returns the
+// applies them unless the state of that daemon is too old. It returns the
 // age of that state.
-func (f *Front) pullFrom(ctx context.Context, i hysmember.Instance, wait, maxAge time.Duration) (time.Duration, error) {
+func (f *Front) pullFrom(ctx context.Context, i hysmember.Instance, p pull) (time.Duration, error) {
 	version := f.directory.Version()
-	reply, err := f.relayClient.Follow(ctx, i.Address, f.followRequest(i.ID, wait))
+	reply, err := f.relayClient.Follow(ctx, i.Address, f.followRequest(i.ID, p.wait))
 	if err != nil {
 		return 0, fmt.Errorf("pull from %s: %w", i.ID, err)
 	}
-	if reply.Revision == 0 || reply.Age > maxAge {
+	if reply.Revision.IsZero() || reply.Age > p.maxAge {
 		return 0, fmt.Errorf("pull from %s, whose state is %s old: %w", i.ID, reply.Age, errStale)
 	}
+	if f.earlierEra(reply.Revision, p.follows) {
+		if f.catchingUp() {
+			return reply.Age, nil
+		}
+		return 0, fmt.Errorf("pull from %s, whose state is of era %d: %w", i.ID, reply.Revision.Era, errStale)
+	}
 	f.recordReported(i.ID, reply.Cursor.Incarnation, version)
 	return reply.Age, f.applyReply(i.ID, reply)
 }
@@ -114,7 +141,7 @@
 func (f *Front) followRequest(id hysmember.InstanceID, wait time.Duration) hysrelay.FollowRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return hysrelay.FollowRequest{Since: f.cursors[id], Wait: wait, Departures: f.directory.DeparturesSince(f.reportedDepartures[id].Version)}
+	return hysrelay.FollowRequest{Since: f.cursors[id], Wait: wait, Era: f.eras.Current(), Departures: f.directory.DeparturesSince(f.reportedDepartures[id].Version)}
 }
 
 // recordReported records the version up to which another daemon has received the
@@ -131,6 +158,7 @@
 
 // applyReply applies the updates of another daemon.
 func (f *Front) applyReply(from hysmember.InstanceID, reply hysrelay.FollowReply) error {
+	f.observeEra(reply.Revision.Era)
 	var c StoredConfiguration
 	if len(reply.Configuration) > 0 {
 		var err error
@@ -150,6 +178,7 @@
 		f.setInstances(reply.Instances)
 	}
 	f.mergeSuspects(reply.Suspects)
+	f.peersAsked.Store(true)
 	f.storeView.advance(reply.Revision)
 	f.storeView.markComplete(time.Now().Add(-reply.Age))
 	f.advanceCursor(from, reply)
@@ -174,6 +203,7 @@
 // wait ends.
 func (f *Front) serveFollow(ctx context.Context, request hysrelay.FollowRequest) hysrelay.FollowReply {
 	f.handleChanges(f.directory.MarkAllLeaving(request.Departures))
+	f.eras.Raise(request.Era)
 	since := request.Since
 	if since.Incarnation != f.incarnation {
 		since = hysrelay.Cursor{}
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -21,6 +21,8 @@
 	// defaultRetryWindow is the time window over which retries are bounded.
 	defaultRetryWindow = 10 * time.Second
 	defaultMinLease    = time.Second
+	// defaultWritesPerSecond is less than any deployment is known to accept.
+	defaultWritesPerSecond = 100
 	// defaultResponseMemory is used on an instance without a memory limit, in
 	// bytes.
 	defaultResponseMemory = 64 << 20
@@ -60,6 +62,8 @@
 	RetryWindow time.Duration
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
+	// WritesPerSecond is how many writes the store accepts from all instances together.
+	WritesPerSecond float64
 	// ApplyWithin and DrainWithin are the time limits for applying a configuration,
 	// and the leaving of a searcher, after the store has them.
 	ApplyWithin time.Duration
@@ -83,6 +87,9 @@
 	if s.MinLease == 0 {
 		s.MinLease = defaultMinLease
 	}
+	if s.WritesPerSecond == 0 {
+		s.WritesPerSecond = defaultWritesPerSecond
+	}
 	if s.ApplyWithin == 0 {
 		s.ApplyWithin = defaultChangeWithin
 	}
@@ -107,7 +114,7 @@
 			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
 		}
 	}
-	if s.RetryShare < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.StopGrace < 0 || s.changeWithin() < 0 {
+	if s.RetryShare < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.StopGrace < 0 || s.changeWithin() < 0 || s.WritesPerSecond < 0 {
 		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
 	}
 	return nil
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -16,6 +16,9 @@
 	// ErrHistoryCompacted means that changes are missing and the full state must be
 	// read again.
 	ErrHistoryCompacted = errors.ConstError("the watch history is compacted")
+	// ErrEraChanged means that the store came back from a copy while it was read. It
+	// must be read again.
+	ErrEraChanged = errors.ConstError("the store has begun another era")
 	// ErrLeaseExpired means that a lease has expired.
 	ErrLeaseExpired = errors.ConstError("the lease has expired")
 )
@@ -92,7 +95,8 @@
 type Source struct {
 	// Read reads the configuration and the full list of searchers.
 	Read func(context.Context) (Snapshot, error)
-	// Watch waits, for a limited time, until any key has changed since a revision.
+	// Watch waits, for a limited time, until any key has changed since a revision. If
+	// the revision of what it returns is of another era, changes may be missing.
 	Watch func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Changes, error)
 	// Decode decodes a configuration as the store holds it.
 	Decode func([]byte) (StoredConfiguration, error)
@@ -107,4 +111,7 @@
 	// WriteCrashEvidence writes an instance's record of a request that crashes
 	// searchers, with a lease of the given duration.
 	WriteCrashEvidence func(context.Context, hysmember.InstanceID, hysquarantine.Record, time.Duration) error
+	// Eras are the eras that the store's answers have stated; nil for a store that
+	// states none.
+	Eras *hysmember.Eras
 }
--- a/io/hysfront/storeview.go
+++ b/io/hysfront/storeview.go
@@ -21,7 +21,7 @@
 func (v *storeView) advance(revision hysmember.Revision) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.revision = max(v.revision, revision)
+	v.revision = hysmember.MaxRevision(v.revision, revision)
 }
 
 // markComplete records that there was nothing more to apply at a time.
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -65,6 +65,8 @@
 	Ready    bool
 	Leaving  bool
 	StoreAge time.Duration
+	// StoreEra counts how often the store has come back from a copy.
+	StoreEra int64
 	// Staleness is the time since the daemon last had the complete state of the
 	// store.
 	Staleness       time.Duration
@@ -198,6 +200,7 @@
 	m.scope.Gauge("ready").Update(boolValue(g.Ready))
 	m.scope.Gauge("leaving").Update(boolValue(g.Leaving))
 	m.scope.Gauge("store_age_seconds").Update(g.StoreAge.Seconds())
+	m.scope.Gauge("store_era").Update(float64(g.StoreEra))
 	m.scope.Gauge("knowledge_age_seconds").Update(g.Staleness.Seconds())
 	m.scope.Gauge("newest_ticket").Update(float64(g.NewestTicket))
 	m.scope.Gauge("members_listed").Update(float64(g.MembersListed))
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -56,7 +56,7 @@
 // FollowReply holds the updates of a daemon since a cursor.
 type FollowReply struct {
 	Cursor Cursor
-	// Revision is the store revision of the daemon's state; 0 if it has none.
+	// Revision is the store revision of the daemon's state; zero if it has none.
 	Revision hysmember.Revision
 	// Age is how long ago the daemon was last up to date with the store.
 	Age time.Duration
@@ -80,6 +80,8 @@
 	// Departures are the searchers that have announced to the requesting daemon
 	// that they are leaving.
 	Departures hysmember.Departures
+	// Era is the era of the store that the requesting daemon knows.
+	Era hysmember.Era
 }
 
 // FollowFunc waits until there are updates, or until the wait of the request ends,
@@ -111,6 +113,7 @@
 		Since:      Cursor{Incarnation: r.Msg.Source, Version: hysmember.Version(r.Msg.Version)},
 		Wait:       min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait),
 		Departures: decodeDepartures(r.Msg.Leavers),
+		Era:        hysmember.Era(r.Msg.Era),
 	}
 	return connect.NewResponse(encodeFollowReply(s.follow(ctx, request))), nil
 }
@@ -149,7 +152,7 @@
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
 	r, err := service.Follow(ctx, connect.NewRequest(&front.FollowRequest{
 		Source: request.Since.Incarnation, Version: uint64(request.Since.Version), WaitMs: request.Wait.Milliseconds(),
-		Leavers: encodeDepartures(request.Departures),
+		Leavers: encodeDepartures(request.Departures), Era: int64(request.Era),
 	}))
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("Client.Follow: %s: %w", address, err)
@@ -163,19 +166,22 @@
 func encodeFollowReply(reply FollowReply) *front.FollowReply {
 	r := &front.FollowReply{
 		Source: reply.Cursor.Incarnation, Version: uint64(reply.Cursor.Version),
-		Revision: int64(reply.Revision), AgeMs: reply.Age.Milliseconds(),
-		Configuration: reply.Configuration, ConfigurationRevision: int64(reply.ConfigurationRevision),
-		Whole: reply.Searchers.Full, Digest: uint64(reply.Searchers.Digest),
+		Revision: reply.Revision.Number, Era: int64(reply.Revision.Era), AgeMs: reply.Age.Milliseconds(),
+		Configuration: reply.Configuration, ConfigurationRevision: reply.ConfigurationRevision.Number,
+		ConfigurationEra: int64(reply.ConfigurationRevision.Era),
+		Whole:            reply.Searchers.Full, Digest: uint64(reply.Searchers.Digest),
 	}
 	for _, e := range reply.Searchers.Entries {
 		r.Searchers = append(r.Searchers, &front.Searcher{
 			Id: string(e.Searcher.ID), Service: string(e.Searcher.Service), Address: string(e.Searcher.Address),
 			Zone: string(e.Searcher.Zone), Leaving: e.Searcher.Leaving, Slots: int32(e.Slots),
-			Born: e.StartTime, Sequence: e.Sequence, Revision: int64(e.Revision),
+			Born: e.StartTime, Sequence: e.Sequence, Revision: e.Revision.Number, Era: int64(e.Revision.Era),
 		})
 	}
 	for _, g := range reply.Searchers.Removals {
-		r.Gone = append(r.Gone, &front.Gone{Id: string(g.ID), Revision: int64(g.Revision)})
+		r.Gone = append(r.Gone, &front.Gone{
+			Id: string(g.ID), Revision: g.Revision.Number, Era: int64(g.Revision.Era), Born: g.StartTime, Sequence: g.Sequence,
+		})
 	}
 	for _, i := range reply.Instances {
 		r.Instances = append(r.Instances, &front.Instance{
@@ -204,12 +210,16 @@
 	return departures
 }
 
+func decodeRevision(era, number int64) hysmember.Revision {
+	return hysmember.Revision{Era: hysmember.Era(era), Number: number}
+}
+
 func decodeFollowReply(r *front.FollowReply) FollowReply {
 	version := hysmember.Version(r.Version)
 	reply := FollowReply{
 		Cursor:   Cursor{Incarnation: r.Source, Version: version},
-		Revision: hysmember.Revision(r.Revision), Age: time.Duration(r.AgeMs) * time.Millisecond,
-		Configuration: r.Configuration, ConfigurationRevision: hysmember.Revision(r.ConfigurationRevision),
+		Revision: decodeRevision(r.Era, r.Revision), Age: time.Duration(r.AgeMs) * time.Millisecond,
+		Configuration: r.Configuration, ConfigurationRevision: decodeRevision(r.ConfigurationEra, r.ConfigurationRevision),
 		Searchers: hysmember.Delta{Version: version, Full: r.Whole, Digest: hysmember.Digest(r.Digest)},
 	}
 	for _, s := range r.Searchers {
@@ -218,11 +228,13 @@
 				ID: hysmember.SearcherID(s.Id), Service: hysservice.Name(s.Service), Address: hysmember.Address(s.Address),
 				Zone: hysmember.Zone(s.Zone), Leaving: s.Leaving,
 			},
-			Slots: int(s.Slots), StartTime: s.Born, Sequence: s.Sequence, Revision: hysmember.Revision(s.Revision),
+			Slots: int(s.Slots), StartTime: s.Born, Sequence: s.Sequence, Revision: decodeRevision(s.Era, s.Revision),
 		})
 	}
 	for _, g := range r.Gone {
-		reply.Searchers.Removals = append(reply.Searchers.Removals, hysmember.Removal{ID: hysmember.SearcherID(g.Id), Revision: hysmember.Revision(g.Revision)})
+		reply.Searchers.Removals = append(reply.Searchers.Removals, hysmember.Removal{
+			ID: hysmember.SearcherID(g.Id), Revision: decodeRevision(g.Era, g.Revision), StartTime: g.Born, Sequence: g.Sequence,
+		})
 	}
 	for _, i := range r.Instances {
 		reply.Instances = append(reply.Instances, hysmember.Instance{
--- a/io/hysrelay/relay_test.go
+++ b/io/hysrelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hyssopshore/internal/hystest"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -37,14 +38,14 @@
 
 	It("arrive as they were sent, and so does the request for them", func(ctx SpecContext) {
 		sent := hysrelay.FollowReply{
-			Cursor: hysrelay.Cursor{Incarnation: "start-2", Version: 9}, Revision: 70, Age: 30 * time.Millisecond,
-			Configuration: []byte("raw"), ConfigurationRevision: 60,
+			Cursor: hysrelay.Cursor{Incarnation: "start-2", Version: 9}, Revision: hystest.Revision(70), Age: 30 * time.Millisecond,
+			Configuration: []byte("raw"), ConfigurationRevision: hystest.Revision(60),
 			Searchers: hysmember.Delta{Version: 9, Full: true, Digest: 77,
 				Entries: hysmember.Entries{{
 					Searcher: hysmember.Searcher{ID: "s-1", Service: "roll", Address: "10.0.0.1:80", Zone: "z", Leaving: true},
-					Slots:    3, StartTime: 4, Sequence: 5, Revision: 6,
+					Slots:    3, StartTime: 4, Sequence: 5, Revision: hystest.Revision(6),
 				}},
-				Removals:   []hysmember.Removal{{ID: "s-2", Revision: 8}},
+				Removals:   []hysmember.Removal{{ID: "s-2", Revision: hystest.Revision(8)}},
 				Departures: hysmember.Departures{{ID: "s-3", StartTime: 12}},
 			},
 			Instances: hysmember.Instances{{ID: "i-1", Address: "10.0.0.2:90", Zone: "z", Region: "r"}},
