--- a/core/hysmember/directory.go
+++ b/core/hysmember/directory.go
@@ -119,8 +119,8 @@
 	d.storeAvailableAt = now
 }
 
-// Put stores an entry unless a newer one of its searcher, or a later removal,
-// is known.
+// Put stores an entry unless the same or a newer one of its searcher, or a later
+// removal, is known.
 func (d *Directory) Put(e Entry) (Change, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -130,7 +130,7 @@
 func (d *Directory) put(e Entry) (Change, bool) {
 	id := e.Searcher.ID
 	known, ok := d.entries[id]
-	if ok && e.olderThan(known) {
+	if ok && !known.olderThan(e) {
 		return Change{}, false
 	}
 	if t := d.removed[id]; t.outdates(e, ok) {
