An instance that sends nothing notices a cut while one searcher is gone

What callers would see: the first request at a quiet daemon after a cut fails, as before, if any searcher was out of reach before the cut.

Test: 'is lost at an instance that sends nothing and has lost one searcher before' failed (lost at 12.1 s by chance, bound 10.5 s), and passes.

--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -156,7 +156,8 @@
 	if t.schedule.idleProbeAt.After(last) {
 		last = t.schedule.idleProbeAt
 	}
-	if t.round != nil || t.running.Load() > 0 || len(t.unreachable) > 0 || now.Sub(last) < IdleInterval {
+	allLost := len(t.unreachable) == len(t.searchers)
+	if t.round != nil || t.running.Load() > 0 || allLost || now.Sub(last) < IdleInterval {
 		return nil
 	}
 	sample := t.schedule.sample(t)
