A successful idle probe does not speed up the other probes

Cause: a successful probe means that links are coming back, so that for a second the unreachable searchers are probed at short intervals. The idle probe of each second, of a searcher that was in reach all the time, kept that up without an end: with most of 87,000 searchers out of reach a quiet instance would probe in large batches all the time.

Fix: the success of an idle probe means nothing for others.

--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -54,7 +54,7 @@
 	// nextBatchAt is when unreachable searchers are probed next.
 	nextBatchAt time.Time
 	succeededAt time.Time
-	// idleProbe is the searcher that was last probed because nothing was sent.
+	// idleProbe is the searcher that is probed because nothing is sent, nil if none is.
 	idleProbe   *searcher
 	idleProbeAt time.Time
 }
@@ -80,6 +80,16 @@
 // busy reports whether a searcher was reached lately.
 func (s *schedule) busy(now time.Time) bool { return now.Sub(s.succeededAt) < busyTime }
 
+// endIdleProbe records the end of a probe, and reports whether it was made because nothing
+// was sent.
+func (s *schedule) endIdleProbe(probed *searcher) bool {
+	idle := probed != nil && probed == s.idleProbe
+	if idle {
+		s.idleProbe = nil
+	}
+	return idle
+}
+
 // build sets the order of the searchers, if it is not set.
 func (s *schedule) build(t *Tracker) {
 	if len(s.order) > 0 {
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -206,11 +206,13 @@
 	t.lastHeard.Store(t.clock())
 	t.failure = EvidenceNone
 	t.updateFlags()
+	s, ok := t.searchers[id]
 	if byProbe {
 		t.roundReached(id)
+	}
+	if byProbe && !t.schedule.endIdleProbe(s) {
 		t.schedule.succeeded(now)
 	}
-	s, ok := t.searchers[id]
 	if !ok {
 		return nil
 	}
@@ -255,8 +257,11 @@
 	}
 	s.probing = false
 	var changes Changes
+	idle := t.schedule.endIdleProbe(s)
 	if t.provesUnreachable(s, began, now, e) {
-		t.suspectIdle(s, began, e)
+		if idle && t.at(&t.lastHeard).Before(began) {
+			t.failure = e
+		}
 		changes = t.lose(s, now, e)
 	}
 	if !t.reachableFrom.IsZero() && !t.at(&s.heardAt).Before(t.reachableFrom) {
@@ -266,13 +271,6 @@
 	return append(changes, t.roundFailed(id, now)...)
 }
 
-// suspectIdle records that the probe of an instance that sends nothing has failed.
-func (t *Tracker) suspectIdle(s *searcher, began time.Time, e Evidence) {
-	if s == t.schedule.idleProbe && t.at(&t.lastHeard).Before(began) {
-		t.failure = e
-	}
-}
-
 // provesUnreachable reports whether a failed probe shows that a searcher is out of
 // reach. A probe that took much longer than its timeout says more about this process,
 // which may have been suspended.
