No listing of a new era is applied before the grace has begun

Found by reading, not seen: the daemon marks an era as its own, and only then lets its directory begin the grace for what the copy lacks. A listing that came in between, on the loop that follows the store, would have found the era marked and dropped searchers at once. Both happen under one lock now. No test: the two steps followed each other without a point between them at which a test could stop.

--- a/io/hysfront/era.go
+++ b/io/hysfront/era.go
@@ -33,8 +33,9 @@
 	}
 	f.eraBegan = time.Now()
 	f.listSettlesAt = f.eraBegan.Add(f.announceSpread() + settleMargin)
+	// Nobody may apply a listing of the era before that.
+	f.directory.BeginEra(f.eraBegan)
 	f.mu.Unlock()
-	f.directory.BeginEra(time.Now())
 	f.log.Warn("store came back from a copy", "before", before, "era", current,
 		"revision", f.storeView.appliedRevision(), "instances", f.instanceCount.Load(), "announces-within", f.announceSpread())
 	select {
