Stand-in: a proxy that refuses connections keeps its port

Cause: a cut that refuses connections closes the listener, and until it ends anybody on the machine may be given the port.

Fix: a socket that is bound and does not listen holds the port meanwhile. Connections to it are refused all the same.

Test: TestRefusedPortIsKept lets another program take the port; it could before, and can't now. Only test tools change.

--- a/internal/hystest/cut.go
+++ b/internal/hystest/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -31,6 +32,9 @@
 // fillTimeout bounds the time to open a connection that fills the queue of a listener.
 const fillTimeout = time.Second
 
+// bindTimeout bounds the time until a port can be bound that was just closed.
+const bindTimeout = time.Second
+
 // maxFillers bounds the connections that fill the queue of a listener.
 const maxFillers = 8
 
@@ -79,6 +83,7 @@
 	}
 	p.mu.Lock()
 	p.listener = l
+	p.release()
 	p.mu.Unlock()
 	go p.accept(l)
 }
@@ -162,11 +167,48 @@
 	return true
 }
 
-// refuseNew closes the listener.
+// refuseNew closes the listener, and keeps its port from being given to anybody else.
 func (p *Proxy) refuseNew() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	address := p.listener.Addr().(*net.TCPAddr)
 	_ = p.listener.Close()
+	socket, err := bindOnly(address)
+	// The listener is closed only after accept has returned.
+	for end := time.Now().Add(bindTimeout); err != nil && time.Now().Before(end); socket, err = bindOnly(address) {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		panic(err)
+	}
+	p.holder = &socket
+}
+
+// release closes the socket that holds the port while connections are refused. The caller
+// holds mu.
+func (p *Proxy) release() {
+	if p.holder != nil {
+		_ = unix.Close(*p.holder)
+		p.holder = nil
+	}
+}
+
+// bindOnly returns a socket that is bound to an address and does not listen. A listener
+// can be bound to the same address beside it.
+func bindOnly(address *net.TCPAddr) (int, error) {
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, fmt.Errorf("bindOnly: socket: %w", err)
+	}
+	err = unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(socket, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())})
+	}
+	if err != nil {
+		_ = unix.Close(socket)
+		return 0, fmt.Errorf("bindOnly: %s: %w", address, err)
+	}
+	return socket, nil
 }
 
 // resetConnections resets the open connections.
--- a/internal/hystest/cut_test.go
+++ b/internal/hystest/cut_test.go
@@ -1,12 +1,15 @@
 package hystest_test
 
 import (
+	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/internal/hystest"
@@ -77,3 +80,29 @@
 		})
 	}
 }
+
+// TestRefusedPortIsKept lets another program try to take the port of a proxy that refuses
+// connections: the proxy must get it back.
+func TestRefusedPortIsKept(t *testing.T) {
+	for _, how := range []hystest.Cut{hystest.CutReset, hystest.CutRefuse} {
+		g := gomega.NewWithT(t)
+		p := hystest.NewProxy(echo(t))
+		p.Cut(how)
+		// Like a program that lets the system choose the port, without an address that may
+		// be used twice.
+		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 0) })
+		}}
+		other, err := config.Listen(context.Background(), "tcp", string(p.Address()))
+		g.Expect(err).To(gomega.MatchError(syscall.EADDRINUSE))
+		if err == nil {
+			_ = other.Close()
+		}
+		p.Heal()
+		c, err := net.Dial("tcp", string(p.Address()))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(works(c)).To(gomega.BeTrue())
+		_ = c.Close()
+		p.Close()
+	}
+}
--- a/internal/hystest/proxy.go
+++ b/internal/hystest/proxy.go
@@ -37,6 +37,8 @@
 	hanging chan struct{}
 	parked  chan struct{}
 	fillers []net.Conn
+	// holder is a socket that holds the port while connections are refused.
+	holder *int
 }
 
 // link is one connection through the proxy.
@@ -103,6 +105,7 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	_ = p.listener.Close()
+	p.release()
 	hanging, fillers := p.hanging, p.fillers
 	p.hanging, p.fillers = nil, nil
 	p.mu.Unlock()
