A follower waits for its reader though another loop has the state already

Fix: whether a round leaves the read to the reader is decided when the round begins.

Test: 'waits for the other one at the first start though that has just told it its state in another call' makes the order certain; it failed before (not following within 2 s, one read), and passes.

--- a/io/hysfront/era_test.go
+++ b/io/hysfront/era_test.go
@@ -31,19 +31,13 @@
 	s.eras.Raise(era)
 }
 
-// serveFollowers answers a daemon's requests for updates with a reply, as another daemon
-// does, and returns that one.
-func serveFollowers(ip string, reply hysrelay.FollowReply) hysmember.Instance {
+// serveFollowers answers a daemon's requests for updates as another daemon does, and returns
+// that one.
+func serveFollowers(ip string, answer func(hysrelay.FollowRequest) hysrelay.FollowReply) hysmember.Instance {
 	address := hystest.FreeAddress(ip)
 	listener, err := net.Listen("tcp", string(address))
 	Expect(err).NotTo(HaveOccurred())
-	follow := func(ctx context.Context, r hysrelay.FollowRequest) hysrelay.FollowReply {
-		select {
-		case <-ctx.Done():
-		case <-time.After(min(r.Wait, 100*time.Millisecond)):
-		}
-		return reply
-	}
+	follow := func(_ context.Context, r hysrelay.FollowRequest) hysrelay.FollowReply { return answer(r) }
 	permits := func(hyspermit.Request) (hyslimit.Grants, error) { return hyslimit.Grants{}, nil }
 	server := &http.Server{Handler: hysrelay.NewHandler(follow, nil, nil, permits)}
 	go func() { _ = server.Serve(listener) }()
@@ -103,9 +97,12 @@
 	It("uses the searchers that an instance of an older release knows, and does not follow it", func() {
 		known := searcher("s-1", 0)
 		known.Revision = hystest.Revision(900)
-		old := serveFollowers("127.0.0.65", hysrelay.FollowReply{
-			Cursor: hysrelay.Cursor{Incarnation: "old", Version: 3}, Revision: hystest.Revision(900), ConfigurationRevision: hystest.Revision(10),
-			Configuration: []byte("6"), Searchers: hysmember.Delta{Version: 3, Full: true, Entries: hysmember.Entries{known}},
+		old := serveFollowers("127.0.0.65", func(r hysrelay.FollowRequest) hysrelay.FollowReply {
+			time.Sleep(min(r.Wait, 100*time.Millisecond))
+			return hysrelay.FollowReply{
+				Cursor: hysrelay.Cursor{Incarnation: "old", Version: 3}, Revision: hystest.Revision(900), ConfigurationRevision: hystest.Revision(10),
+				Configuration: []byte("6"), Searchers: hysmember.Delta{Version: 3, Full: true, Entries: hysmember.Entries{known}},
+			}
 		})
 		s := eraStore(3, 40, hysmember.Entries{searcher("s-2", 0)}, old)
 		d := newDaemon("127.0.0.66")
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -71,6 +71,9 @@
 	directReadUntil time.Time
 	// started is when this daemon began to follow the store.
 	started time.Time
+	// waits is set if this round leaves the first full read to the reader. Another loop
+	// may get the state from there meanwhile.
+	waits bool
 }
 
 // waitsForReader reports whether a daemon that has no state yet waits for its
@@ -91,12 +94,13 @@
 	}
 	p := progress{started: time.Now()}
 	for ctx.Err() == nil {
+		p.waits = f.waitsForReader(p)
 		followed := f.followReader(ctx, &p)
 		f.following.Store(followed)
 		delay := followInterval
 		switch {
 		case followed:
-		case f.waitsForReader(p):
+		case p.waits && !f.hasWaitingRequests():
 			delay = firstStartInterval
 		default:
 			delay = f.followStore(ctx, &p)
@@ -178,7 +182,7 @@
 // failed.
 func (f *Front) directReadTime(p progress) time.Duration {
 	switch {
-	case f.waitsForReader(p):
+	case p.waits && !f.hasWaitingRequests():
 		return 0
 	case !f.searchersKnown.Load():
 		return firstDirectReadTime
--- a/io/hysfront/reader_test.go
+++ b/io/hysfront/reader_test.go
@@ -1,8 +1,11 @@
 package hysfront_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +14,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/internal/hystest"
 	"hyssopshore/io/hysfront"
+	"hyssopshore/io/hysrelay"
 )
 
 var _ = Describe("a frontend daemon with another one in its zone", func() {
@@ -127,6 +131,40 @@
 		Expect(reads).To(Equal(1), "only the reader reads")
 	})
 
+	It("waits for the other one at the first start though that has just told it its state in another call", func() {
+		entries = hysmember.Entries{searcher("s-1", 0)}
+		d := newDaemon("127.0.0.68")
+		d.settings.FirstStart = true
+		state := hysrelay.FollowReply{
+			Cursor: hysrelay.Cursor{Incarnation: "other", Version: 3}, Revision: hystest.Revision(5), ConfigurationRevision: hystest.Revision(5),
+			Configuration: []byte("1"), Searchers: hysmember.Delta{Version: 3, Full: true, Entries: entries},
+		}
+		told, once := make(chan struct{}), sync.Once{}
+		var followed atomic.Int64
+		other := serveFollowers("127.0.0.69", func(r hysrelay.FollowRequest) hysrelay.FollowReply {
+			if r.Wait == 0 {
+				once.Do(func() { time.AfterFunc(20*time.Millisecond, func() { close(told) }) })
+				return state
+			}
+			<-told
+			if followed.Add(1) == 1 {
+				return hysrelay.FollowReply{}
+			}
+			time.Sleep(min(r.Wait, 100*time.Millisecond))
+			return state
+		})
+		followerStore = &store{version: 1, revision: hystest.Revision(5), entries: entries, peers: hysmember.Instances{other, d.instance()}}
+		for i := 0; !isReader(followerStore.peers, d.settings.Instance, other.ID); i++ {
+			other.ID = hysmember.InstanceID(fmt.Sprint("other-", i))
+			followerStore.peers[0] = other
+		}
+		d.start(followerStore)
+		Eventually(d.log.String, "2s").Should(ContainSubstring("following reader"))
+		followerStore.mu.Lock()
+		defer followerStore.mu.Unlock()
+		Expect(followerStore.reads).To(BeZero())
+	})
+
 	It("reads the store itself once it has lost the other one just after the first start", func() {
 		one, other := newDaemon("127.0.0.58"), newDaemon("127.0.0.59")
 		one.settings.FirstStart, other.settings.FirstStart = true, true
