A list of instances that shows a new era does not count before the era does

In its logs a daemon counts 2 instances, then 3, at the millisecond at which it says that the store came back from a copy, while the others count 4: daemons with different lists choose different allocators, and each has a larger part of its own.

What the daemons wrote for each other is read on a loop of its own. The answer that holds the short list can be the first one of the era, and was applied before the daemon had acted on the era, which is what keeps the instances of before in the list.

Fix: the era is acted on first, there too.

Test: 'counts them too when the list itself is the first answer of the era' failed before (count 1 of 3), and passes.

--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -83,6 +83,7 @@
 		// its failures.
 		return
 	}
+	f.observeEra(f.eras.Current())
 	f.applyEvidence(shared.Evidence)
 	if len(shared.Instances) > 0 {
 		f.setInstances(shared.Instances)
--- a/io/hysfront/era_test.go
+++ b/io/hysfront/era_test.go
@@ -80,6 +80,21 @@
 		Consistently(d.log.String, "1s").ShouldNot(ContainSubstring(`"count":1`))
 	})
 
+	It("counts them too when the list itself is the first answer of the era", func() {
+		peers := hysmember.Instances{{ID: "p-1", Zone: "y", Region: "r"}, {ID: "p-2", Zone: "y", Region: "r"}, {ID: "p-3", Zone: "y", Region: "r"}}
+		s := eraStore(1, 50, hysmember.Entries{searcher("s-1", 0)}, peers...)
+		reads := 0
+		s.onShared = func() {
+			if reads++; reads == 2 {
+				s.peers, s.revision = peers[:1], hysmember.Revision{Era: 2, Number: 8}
+				s.eras.Raise(2)
+			}
+		}
+		d := start(s, "127.0.0.70")
+		Eventually(d.log.String, "2s").Should(ContainSubstring("store came back from a copy"))
+		Consistently(d.log.String, "500ms").ShouldNot(ContainSubstring(`"count":1`))
+	})
+
 	It("applies the newer configuration of another instance when it starts", func() {
 		served := &store{version: 7, revision: hysmember.Revision{Era: 2, Number: 9}, entries: hysmember.Entries{searcher("s-1", 0)}, eras: hysmember.NewEras()}
 		served.eras.Raise(2)
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -58,6 +58,8 @@
 	limits       hysroute.Limits
 	// eras are those that the store states, nil if it states none.
 	eras *hysmember.Eras
+	// onShared is called before the shared state is read, with the lock held.
+	onShared func()
 	// announcements counts them.
 	announcements int
 	// evidence holds the crash evidence that was written.
@@ -155,6 +157,9 @@
 		ReadSharedState: func(context.Context) (hysfront.SharedState, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if s.onShared != nil {
+				s.onShared()
+			}
 			return hysfront.SharedState{Instances: s.peers}, nil
 		},
 		WriteCrashEvidence: func(_ context.Context, _ hysmember.InstanceID, r hysquarantine.Record, _ time.Duration) error {
