--- a/core/hysmember/delta_test.go
+++ b/core/hysmember/delta_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"hyssopshore/core/hysmember"
+	"hyssopshore/internal/hystest"
 )
 
 // pair is a store, a directory that reads it, and a follower of that directory
@@ -234,7 +235,7 @@
 		for i := range int64(5000) {
 			id := hysmember.SearcherID(fmt.Sprint("s-", i))
 			d.Put(entry(id, 2*i+10))
-			d.Remove(id, revision(2*i+11), time.Unix(1, 0))
+			d.Remove(id, hystest.Revision(2*i+11), time.Unix(1, 0))
 		}
 		x := d.Since(version)
 		Expect(x.Full).To(BeTrue())
@@ -244,15 +245,15 @@
 	})
 
 	It("do not restore an entry that was written before its removal", func() {
-		d.Remove("s-1", revision(5), time.Unix(1, 0))
-		d.Apply(hysmember.Delta{Entries: hysmember.Entries{entry("s-1", 4)}}, revision(6))
+		d.Remove("s-1", hystest.Revision(5), time.Unix(1, 0))
+		d.Apply(hysmember.Delta{Entries: hysmember.Entries{entry("s-1", 4)}}, hystest.Revision(6))
 		Expect(d.Entries()).To(BeEmpty())
 	})
 
 	It("do not drop an entry that was written after its removal", func() {
 		d.Put(entry("s-1", 8))
-		d.Apply(hysmember.Delta{Full: true}, revision(7))
-		d.Apply(hysmember.Delta{Removals: []hysmember.Removal{{ID: "s-1", Revision: revision(7)}}}, revision(7))
+		d.Apply(hysmember.Delta{Full: true}, hystest.Revision(7))
+		d.Apply(hysmember.Delta{Removals: []hysmember.Removal{{ID: "s-1", Revision: hystest.Revision(7)}}}, hystest.Revision(7))
 		Expect(d.Entries()).To(HaveLen(1))
 	})
 })
--- a/core/hysmember/directory_test.go
+++ b/core/hysmember/directory_test.go
@@ -9,6 +9,7 @@
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/internal/hyssuite"
+	"hyssopshore/internal/hystest"
 )
 
 // directoryStep is one step of testdata/directory.json: one of the actions, or
@@ -37,11 +38,8 @@
 	Listed  *[]hysmember.SearcherID `json:"listed"`
 }
 
-// revision returns a revision of the first era.
-func revision(number int64) hysmember.Revision { return hysmember.Revision{Number: number} }
-
 func entry(id hysmember.SearcherID, number int64) hysmember.Entry {
-	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id}, Revision: revision(number)}
+	return hysmember.Entry{Searcher: hysmember.Searcher{ID: id}, Revision: hystest.Revision(number)}
 }
 
 func (s directoryStep) revision() hysmember.Revision {
@@ -99,7 +97,7 @@
 // checkState compares the directory with what the step expects.
 func (s directoryStep) checkState(d *hysmember.Directory) {
 	if s.Settled != 0 {
-		Expect(d.ConfirmedRevision(revision(100))).To(Equal(revision(s.Settled)))
+		Expect(d.ConfirmedRevision(hystest.Revision(100))).To(Equal(hystest.Revision(s.Settled)))
 		return
 	}
 	listed, leaving := []hysmember.SearcherID{}, []hysmember.SearcherID{}
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,6 +16,12 @@
 	// startupWindow is the time within which all daemons have announced themselves
 	// if they start at the same time.
 	startupWindow = 500 * time.Millisecond
+	// announceShare is the share of the store's writes that all daemons together use to
+	// announce themselves again in a new era, announceWrites the writes that one needs.
+	announceShare  = 0.25
+	announceWrites = 2
+	// settleMargin is how long after the last of them the list may still lack some.
+	settleMargin = renewInterval + 3*time.Second
 )
 
 // announce keeps this instance announced in the store. It reads the other instances
@@ -149,3 +156,30 @@
 	}
 	return announcement{lease: lease, era: era}
 }
+
+// announceSpread returns the time over which all daemons announce themselves again.
+func (f *Front) announceSpread() time.Duration {
+	rate := announceShare * f.settings.WritesPerSecond
+	return time.Duration(float64(announceWrites*f.instanceCount.Load()) / rate * float64(time.Second))
+}
+
+// announceDelay returns a random part of announceSpread.
+func (f *Front) announceDelay() time.Duration {
+	return time.Duration(rand.Float64() * float64(f.announceSpread()))
+}
+
+// withUnlisted adds the daemons that were announced before the store came back from a
+// copy and may not have announced themselves again yet. A list that lacks them would let
+// each daemon take a larger share of what all use together. The caller holds mu.
+func (f *Front) withUnlisted(instances hysmember.Instances) hysmember.Instances {
+	if !time.Now().Before(f.listSettlesAt) {
+		return instances
+	}
+	all := append(hysmember.Instances{}, instances...)
+	for _, i := range f.announced {
+		if !instances.Contains(i.ID) {
+			all = append(all, i)
+		}
+	}
+	return all
+}
--- a/io/hysfront/era.go
+++ b/io/hysfront/era.go
@@ -2,22 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"hyssopshore/core/hysmember"
-	"hyssopshore/core/hysquarantine"
-)
-
-// Timing of what follows when the store has come back from a copy.
-const (
-	// announceShare is the share of the store's writes that all daemons together use to
-	// announce themselves again, announceWrites the writes that one needs.
-	announceShare  = 0.25
-	announceWrites = 2
-	// settleMargin is how long after the last daemon has announced itself the list of
-	// the daemons may still be read as it was before.
-	settleMargin = renewInterval + 3*time.Second
 )
 
 // observeEra acts on the era that the store's answers or another daemon have shown, if
@@ -60,18 +47,11 @@
 
 // untilEraEnds returns a context that ends when the store has begun another era.
 func (f *Front) untilEraEnds(ctx context.Context, era hysmember.Era) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
 	current, changed := f.eras.Changed()
+	ctx, cancel := untilClosed(ctx, changed)
 	if current != era {
 		cancel()
 	}
-	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	return ctx, cancel
 }
 
@@ -80,33 +60,6 @@
 	f.log.Warn("era of the store not usable", "known", f.eras.Current(), "error", err)
 }
 
-// announceSpread returns the time over which all daemons announce themselves again.
-func (f *Front) announceSpread() time.Duration {
-	rate := announceShare * f.settings.WritesPerSecond
-	return time.Duration(float64(announceWrites*f.instanceCount.Load()) / rate * float64(time.Second))
-}
-
-// announceDelay returns a random part of announceSpread.
-func (f *Front) announceDelay() time.Duration {
-	return time.Duration(rand.Float64() * float64(f.announceSpread()))
-}
-
-// withUnlisted adds the daemons that were announced before the store came back from a
-// copy and may not have announced themselves again yet. A list that lacks them would let
-// each daemon take a larger share of what all use together. The caller holds mu.
-func (f *Front) withUnlisted(instances hysmember.Instances) hysmember.Instances {
-	if !time.Now().Before(f.listSettlesAt) {
-		return instances
-	}
-	all := append(hysmember.Instances{}, instances...)
-	for _, i := range f.announced {
-		if !instances.Contains(i.ID) {
-			all = append(all, i)
-		}
-	}
-	return all
-}
-
 // earlierEra reports whether another daemon's state must not be applied, because it is
 // of an earlier era than this daemon knows. A daemon of an older release states none. Its
 // entries can be used, but not the removals, so that it can't be followed.
@@ -121,36 +74,3 @@
 	defer f.mu.Unlock()
 	return time.Since(f.eraBegan) < f.maxReaderAge()
 }
-
-// keepEvidence keeps a record that this daemon writes to the store, and drops those
-// that have expired.
-func (f *Front) keepEvidence(r hysquarantine.Record, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for key, known := range f.ownEvidence {
-		if known.Expires.Before(now) {
-			delete(f.ownEvidence, key)
-		}
-	}
-	if _, ok := f.ownEvidence[r.Key]; ok || len(f.ownEvidence) < maxOwnEvidence {
-		f.ownEvidence[r.Key] = r
-	}
-}
-
-// rewriteEvidence queues the records of this daemon to be written again.
-func (f *Front) rewriteEvidence(now time.Time) {
-	f.mu.Lock()
-	var records hysquarantine.Records
-	for _, r := range f.ownEvidence {
-		if r.Expires.After(now) {
-			records = append(records, r)
-		}
-	}
-	f.mu.Unlock()
-	for _, r := range records {
-		f.enqueueEvidence(r)
-	}
-	if len(records) > 0 {
-		f.log.Info("crash evidence to be written again", "count", len(records))
-	}
-}
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -71,9 +71,9 @@
 	directReadUntil time.Time
 	// started is when this daemon began to follow the store.
 	started time.Time
-	// waits is set if this round leaves the first full read to the reader. Another loop
-	// may get the state from there meanwhile.
-	waits bool
+	// leavesFirstRead is set if this round leaves the first full read to the reader.
+	// Another loop may get the state from there meanwhile.
+	leavesFirstRead bool
 }
 
 // waitsForReader reports whether a daemon that has no state yet waits for its
@@ -94,13 +94,13 @@
 	}
 	p := progress{started: time.Now()}
 	for ctx.Err() == nil {
-		p.waits = f.waitsForReader(p)
+		p.leavesFirstRead = f.waitsForReader(p)
 		followed := f.followReader(ctx, &p)
 		f.following.Store(followed)
 		delay := followInterval
 		switch {
 		case followed:
-		case p.waits && !f.hasWaitingRequests():
+		case p.leavesFirstRead && !f.hasWaitingRequests():
 			delay = firstStartInterval
 		default:
 			delay = f.followStore(ctx, &p)
@@ -156,13 +156,18 @@
 // daemon that has no state yet. If one already waits, the context does not end by
 // itself: a direct read of the store has failed by then.
 func (f *Front) untilRequestWaits(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
 	if f.searchersKnown.Load() || f.hasWaitingRequests() {
-		return ctx, cancel
+		return context.WithCancel(ctx)
 	}
+	return untilClosed(ctx, f.requestWaiting)
+}
+
+// untilClosed returns a context that ends when a channel is closed.
+func untilClosed(ctx context.Context, closed <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		select {
-		case <-f.requestWaiting:
+		case <-closed:
 			cancel()
 		case <-ctx.Done():
 		}
@@ -182,7 +187,7 @@
 // failed.
 func (f *Front) directReadTime(p progress) time.Duration {
 	switch {
-	case p.waits && !f.hasWaitingRequests():
+	case p.leavesFirstRead && !f.hasWaitingRequests():
 		return 0
 	case !f.searchersKnown.Load():
 		return firstDirectReadTime
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -177,26 +177,7 @@
 	options  []hysfront.Option
 	stop     context.CancelFunc
 	stopped  chan error
-	log      *logBuffer
-}
-
-// logBuffer is a log in memory.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-// Write appends to the log.
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
+	log      *hystest.Log
 }
 
 // droppedLines is the number of dropped log lines that each daemon reports.
@@ -204,7 +185,7 @@
 
 // newDaemon returns a daemon that is not yet started. Each has its own IP address.
 func newDaemon(ip string) *daemon {
-	d := &daemon{stopped: make(chan error, 1), log: &logBuffer{}, settings: hysfront.Settings{
+	d := &daemon{stopped: make(chan error, 1), log: &hystest.Log{}, settings: hysfront.Settings{
 		Instance: hysmember.InstanceID("entry-" + ip), Zone: "z", Region: "r", Address: ip,
 		CallerAddress: hystest.FreeAddress(ip), ReadinessAddress: hystest.FreeAddress(ip), PeerAddress: hystest.FreeAddress(ip),
 		StoreAddress: "127.0.0.1:1", StopGrace: 3 * time.Second,
--- a/io/hysfront/quarantine.go
+++ b/io/hysfront/quarantine.go
@@ -134,3 +134,36 @@
 		}
 	}
 }
+
+// keepEvidence keeps a record that this daemon writes to the store, and drops those
+// that have expired.
+func (f *Front) keepEvidence(r hysquarantine.Record, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, known := range f.ownEvidence {
+		if known.Expires.Before(now) {
+			delete(f.ownEvidence, key)
+		}
+	}
+	if _, ok := f.ownEvidence[r.Key]; ok || len(f.ownEvidence) < maxOwnEvidence {
+		f.ownEvidence[r.Key] = r
+	}
+}
+
+// rewriteEvidence queues the records of this daemon to be written again.
+func (f *Front) rewriteEvidence(now time.Time) {
+	f.mu.Lock()
+	var records hysquarantine.Records
+	for _, r := range f.ownEvidence {
+		if r.Expires.After(now) {
+			records = append(records, r)
+		}
+	}
+	f.mu.Unlock()
+	for _, r := range records {
+		f.enqueueEvidence(r)
+	}
+	if len(records) > 0 {
+		f.log.Info("crash evidence to be written again", "count", len(records))
+	}
+}
