Observability: by which way a version of the configuration came, and how late

Logs showed that a version was in force, not from where it came or how old the state was; on-call engineers could not tell a slow store from two daemons that confirm each other. 'configuration in force' now names the way, the source and the longest time it can have taken; changes of the source are logged; a histogram by way; 'hyssopshore versions' lists the slowest daemons of each version.

--- a/cmd/hyssopshore/losses.go
+++ b/cmd/hyssopshore/losses.go
@@ -45,7 +45,7 @@
 	}
 	l := hyslosses.New(c.Window)
 	for _, name := range c.Files {
-		if err := p.readLog(l, name); err != nil {
+		if err := p.readLog(l.Add, name); err != nil {
 			return fmt.Errorf("losses: %w", err)
 		}
 	}
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// readLog adds the lines of a log file, or of standard input for "-".
-func (p *program) readLog(l *hyslosses.Losses, name string) error {
+// readLog passes on the lines of a log file, or of standard input for "-".
+func (p *program) readLog(add func([]byte), name string) error {
 	var source io.Reader = p.stdin
 	if name != "-" {
 		file, err := os.Open(name)
@@ -78,7 +78,7 @@
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLogLineBytes)
 	for scanner.Scan() {
-		l.Add(scanner.Bytes())
+		add(scanner.Bytes())
 	}
 	if err := scanner.Err(); err != nil {
 		return fmt.Errorf("readLog: %s: %w", name, err)
--- a/cmd/hyssopshore/main.go
+++ b/cmd/hyssopshore/main.go
@@ -37,6 +37,7 @@
 	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"list the requests that crashed searchers, or lift a quarantine"`
 	Status     *statusCommand     `arg:"subcommand:status" help:"show the live state of a daemon"`
 	Losses     *lossesCommand     `arg:"subcommand:losses" help:"show from logs where answers were lost"`
+	Versions   *versionsCommand   `arg:"subcommand:versions" help:"show from logs how long versions took to be in force"`
 	Help       *helpCommand       `arg:"subcommand:help" help:"show the usage of a subcommand"`
 }
 
@@ -63,7 +64,7 @@
 	"group": usageGroup, "group list": usageGroup,
 	"service": usageService, "service list": usageService,
 	"quarantine": usageQuarantine, "quarantine list": usageQuarantine, "quarantine lift": usageQuarantine,
-	"status": usageStatus, "losses": usageLosses,
+	"status": usageStatus, "losses": usageLosses, "versions": usageVersions,
 }
 
 // program is one run of the command.
@@ -147,6 +148,8 @@
 		return args.Status.run(ctx, p)
 	case args.Losses != nil:
 		return args.Losses.run(p)
+	case args.Versions != nil:
+		return args.Versions.run(p)
 	case args.Help != nil:
 		return p.help(parser, args.Help.Names)
 	default:
--- a/io/hysfront/apply.go
+++ b/io/hysfront/apply.go
@@ -9,7 +9,7 @@
 
 // applyConfiguration puts a configuration in force unless the current one is as new
 // or newer. It reports whether it did.
-func (f *Front) applyConfiguration(c StoredConfiguration) bool {
+func (f *Front) applyConfiguration(c StoredConfiguration, a arrival) bool {
 	for _, s := range c.Skipped {
 		f.log.Warn("invalid route ignored", "route", s.Route, "error", s.Err)
 	}
@@ -25,7 +25,7 @@
 	f.mu.Lock()
 	f.configurationChanged = f.directory.BumpVersion()
 	f.mu.Unlock()
-	f.log.Info("configuration in force", "version", next.Version, "revision", c.Revision, "routes", len(next.Routes))
+	f.logInForce(c, a, current == nil)
 	f.updateReplicas()
 	if current == nil {
 		close(f.configured)
@@ -35,6 +35,7 @@
 
 // applySnapshot applies a snapshot of the store.
 func (f *Front) applySnapshot(s Snapshot) {
+	arrived := arrival{way: wayFullRead, at: time.Now()}
 	// After an outage of the store, entries that are missing now may still
 	// reappear.
 	f.storeServed(0)
@@ -46,11 +47,12 @@
 	f.scheduleExpiry()
 	f.searchersKnown.Store(true)
 	f.handleChanges(changes)
-	f.applyConfiguration(s.Configuration)
+	f.applyConfiguration(s.Configuration, arrived)
 }
 
 // applyChanges applies changes and reports whether any of them was relevant.
 func (f *Front) applyChanges(c Changes) bool {
+	arrived := arrival{way: wayWatch, at: time.Now()}
 	f.storeServed(0)
 	var changes []hysmember.Change
 	for _, u := range c.Updates {
@@ -61,7 +63,7 @@
 	f.handleChanges(changes)
 	f.scheduleExpiry()
 	f.applyEvidence(c.Evidence)
-	return f.applyConfiguration(c.Configuration) || len(changes) > 0
+	return f.applyConfiguration(c.Configuration, arrived) || len(changes) > 0
 }
 
 // applyUpdate applies one change of the list of searchers. The bool reports whether
--- a/io/hysfront/export_test.go
+++ b/io/hysfront/export_test.go
@@ -8,7 +8,9 @@
 )
 
 // ApplyConfiguration puts a configuration in force as the loops of a daemon do.
-func (f *Front) ApplyConfiguration(c StoredConfiguration) bool { return f.applyConfiguration(c) }
+func (f *Front) ApplyConfiguration(c StoredConfiguration) bool {
+	return f.applyConfiguration(c, arrival{})
+}
 
 // Version returns the version of the configuration in force.
 func (f *Front) Version() int64 { return int64(f.configuration().Version) }
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -85,10 +85,14 @@
 	}
 	for _, i := range peers[:min(len(peers), peersPerRound)] {
 		if _, err := f.pullFrom(ctx, i, pull{maxAge: maxAge}); err != nil {
+			f.log.Info("updates of another instance not used", "from", i.ID, "known-age-ms", f.storeView.age().Milliseconds(), "error", err)
 			lastErr = fmt.Errorf("pullFromPeers: %w", err)
 			f.lastPeer = ""
 			continue
 		}
+		if f.lastPeer != i.ID {
+			f.log.Info("updates come from another instance", "from", i.ID, "known-age-ms", f.storeView.age().Milliseconds())
+		}
 		f.lastPeer = i.ID
 		return nil
 	}
@@ -132,7 +136,11 @@
 		return 0, fmt.Errorf("pull from %s, whose state is of era %d: %w", i.ID, reply.Revision.Era, errStale)
 	}
 	f.recordReported(i.ID, reply.Cursor.Incarnation, version)
-	return reply.Age, f.applyReply(i.ID, reply)
+	arrived := arrival{way: wayInstance, from: i.ID, at: time.Now()}
+	if p.follows {
+		arrived.way = wayReader
+	}
+	return reply.Age, f.applyReply(arrived, reply)
 }
 
 // followRequest returns the request to another daemon for the updates since the
@@ -157,7 +165,8 @@
 }
 
 // applyReply applies the updates of another daemon.
-func (f *Front) applyReply(from hysmember.InstanceID, reply hysrelay.FollowReply) error {
+func (f *Front) applyReply(a arrival, reply hysrelay.FollowReply) error {
+	from := a.from
 	f.observeEra(reply.Revision.Era)
 	var c StoredConfiguration
 	if len(reply.Configuration) > 0 {
@@ -173,7 +182,7 @@
 	changes := f.directory.Apply(reply.Searchers, reply.Revision)
 	f.searchersKnown.Store(true)
 	f.handleChanges(changes)
-	f.applyConfiguration(c)
+	f.applyConfiguration(c, a)
 	if len(reply.Instances) > 0 {
 		f.setInstances(reply.Instances)
 	}
--- a/io/hysmetrics/metrics.go
+++ b/io/hysmetrics/metrics.go
@@ -163,6 +163,12 @@
 	scope.Histogram("route_request_seconds", m.buckets).RecordDuration(latency)
 }
 
+// ObserveConfiguration records by which way a version of the configuration came, and how
+// long it can have taken at most from its writing until it was in force.
+func (m *Metrics) ObserveConfiguration(way string, lag time.Duration) {
+	m.scope.Tagged(map[string]string{"way": way}).Histogram("configuration_lag_seconds", m.buckets).RecordDuration(lag)
+}
+
 // ObserveDelegation counts, by result, a query that was delegated to another
 // instance or gathered on behalf of one.
 func (m *Metrics) ObserveDelegation(result string) {
