--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -196,11 +196,14 @@
 }
 
 // start runs the daemon with a store until the test ends.
-func (d *daemon) start(s *store) {
+func (d *daemon) start(s *store) { d.startSource(s.source()) }
+
+// startSource runs the daemon with a source until the test ends.
+func (d *daemon) startSource(s hysfront.Source) {
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	options := append(d.options, hysfront.WithDroppedLines(func() int64 { return droppedLines }))
-	front := hysfront.New(d.settings, s.source(), headers, slog.New(slog.NewJSONHandler(d.log, nil)), options...)
+	front := hysfront.New(d.settings, s, headers, slog.New(slog.NewJSONHandler(d.log, nil)), options...)
 	go func() { d.stopped <- front.Run(ctx, nil) }()
 	DeferCleanup(func() {
 		stop()
