The age of a copied state includes the time that the copy took

Cause: the age of a state was copied in whole milliseconds, rounded down, and counted from the arrival of the copy; so a copy counted as younger than its original. The same holds for an answer of the store that arrives late, after a pause or a lost packet: it counted as new when it was read.

Now the answering daemon states how long it has held the request, the asking one adds the rest of the call to the age, and the age is rounded up; a watch counts as answered when its wait ended at the latest. So no copy is younger than its original, and no ring of copies can renew itself.

The spec of the wire asked for an unchanged age; now for at least the age sent and at most that and the call.

--- a/io/hysfront/era_test.go
+++ b/io/hysfront/era_test.go
@@ -34,12 +34,21 @@
 // serveFollowers answers a daemon's requests for updates as another daemon does, and returns
 // that one.
 func serveFollowers(ip string, answer func(hysrelay.FollowRequest) hysrelay.FollowReply) hysmember.Instance {
+	return serveFollowersOver(ip, 0, answer)
+}
+
+// serveFollowersOver does so over a link on which each request takes some time.
+func serveFollowersOver(ip string, transit time.Duration, answer func(hysrelay.FollowRequest) hysrelay.FollowReply) hysmember.Instance {
 	address := hystest.FreeAddress(ip)
 	listener, err := net.Listen("tcp", string(address))
 	Expect(err).NotTo(HaveOccurred())
 	follow := func(_ context.Context, r hysrelay.FollowRequest) hysrelay.FollowReply { return answer(r) }
 	permits := func(hyspermit.Request) (hyslimit.Grants, error) { return hyslimit.Grants{}, nil }
-	server := &http.Server{Handler: hysrelay.NewHandler(follow, nil, nil, permits)}
+	handler := hysrelay.NewHandler(follow, nil, nil, permits)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(transit)
+		handler.ServeHTTP(w, r)
+	})}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
 	return hysmember.Instance{ID: hysmember.InstanceID("peer-" + ip), Address: address, Zone: "z", Region: "r"}
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -256,7 +256,8 @@
 	// What the store has lost, and what it has given out again, is found only by reading
 	// all of it.
 	watchCtx, stop := f.untilEraEnds(ctx, after.Era)
-	c, err := f.source.Watch(watchCtx, after, f.watchWait())
+	began, wait := time.Now(), f.watchWait()
+	c, err := f.source.Watch(watchCtx, after, wait)
 	stop()
 	if current := f.eras.Current(); current != after.Era || err == nil && c.Revision.Era != after.Era {
 		return hysmember.Revision{}, 0, fmt.Errorf("watch after %v: %w", after, ErrEraChanged)
@@ -269,7 +270,7 @@
 		return hysmember.Revision{}, 0, fmt.Errorf("watch after %v reported no change up to %v: %w", after, c.Revision, ErrHistoryCompacted)
 	}
 	changed := f.applyChanges(c)
-	return hysmember.MaxRevision(after, c.Revision), f.nextReadDelay(c, changed), nil
+	return hysmember.MaxRevision(after, c.Revision), f.nextReadDelay(c, changed, answeredBy(began, wait)), nil
 }
 
 // watchWait returns how long a watch waits for the next change: until the state is as
@@ -278,13 +279,23 @@
 	return max(f.readInterval()-f.storeView.age(), minWatchInterval)
 }
 
+// answeredBy returns when the store has answered a watch at the latest: when its wait
+// ended, however late the answer arrived.
+func answeredBy(began time.Time, wait time.Duration) time.Time {
+	if ended := began.Add(wait); ended.Before(time.Now()) {
+		return ended
+	}
+	return time.Now()
+}
+
 // nextReadDelay returns the time until the next watch after one that reported
-// changes. changed is set if any of them was relevant.
-func (f *Front) nextReadDelay(c Changes, changed bool) time.Duration {
+// changes. changed is set if any of them was relevant, answered is when the store
+// answered.
+func (f *Front) nextReadDelay(c Changes, changed bool, answered time.Time) time.Duration {
 	if c.More {
 		return catchUpInterval
 	}
-	f.storeView.markComplete(time.Now())
+	f.storeView.markComplete(answered)
 	if c.Events > 0 && !changed {
 		return f.readInterval()
 	}
--- a/io/hysfront/refused_test.go
+++ b/io/hysfront/refused_test.go
@@ -196,13 +196,21 @@
 	}
 })
 
-var _ = Describe("a state that a daemon has copied from another one", func() {
-	It("is not younger than the original by the time that the copy took", func() {
+// follow asks a daemon for its state, as another one does.
+func (d *daemon) follow() hysrelay.FollowReply {
+	client := hysrelay.NewClient()
+	defer client.Close()
+	reply, err := client.Follow(context.Background(), d.settings.PeerAddress, hysrelay.FollowRequest{})
+	Expect(err).NotTo(HaveOccurred())
+	return reply
+}
+
+var _ = Describe("the age of a state", func() {
+	It("is not lowered by the time that a copy of it took", func() {
 		const age, transit = 300 * time.Millisecond, 250 * time.Millisecond
 		d := newDaemon("127.0.0.71")
 		entries := hysmember.Entries{searcher("s-1", 0)}
-		other := serveFollowers("127.0.0.72", func(hysrelay.FollowRequest) hysrelay.FollowReply {
-			time.Sleep(transit)
+		other := serveFollowersOver("127.0.0.72", transit, func(hysrelay.FollowRequest) hysrelay.FollowReply {
 			return hysrelay.FollowReply{
 				Cursor: hysrelay.Cursor{Incarnation: "other", Version: 3}, Revision: hystest.Revision(5), Age: age,
 				Configuration: []byte("1"), ConfigurationRevision: hystest.Revision(5),
@@ -211,10 +219,23 @@
 		})
 		d.start(&store{unavailable: true, peers: hysmember.Instances{other, d.instance()}})
 		Eventually(d.ready, "3s", "1ms").Should(Equal(http.StatusOK))
-		client := hysrelay.NewClient()
-		DeferCleanup(client.Close)
-		reply, err := client.Follow(context.Background(), d.settings.PeerAddress, hysrelay.FollowRequest{})
-		Expect(err).NotTo(HaveOccurred())
-		Expect(reply.Age).To(BeNumerically(">=", age+transit))
+		Expect(d.follow().Age).To(BeNumerically(">=", age+transit))
+	})
+
+	It("counts from the end of a watch's wait, however late its answer arrives", func() {
+		const late = 600 * time.Millisecond
+		d := newDaemon("127.0.0.73")
+		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}}
+		source := s.source()
+		source.Watch = func(_ context.Context, after hysmember.Revision, wait time.Duration) (hysfront.Changes, error) {
+			time.Sleep(wait + late)
+			return hysfront.Changes{Revision: after}, nil
+		}
+		d.startSource(source)
+		Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
+		time.Sleep(late)
+		for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(10 * time.Millisecond) {
+			Expect(d.follow().Age).To(BeNumerically(">=", late))
+		}
 	})
 })
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -189,7 +189,7 @@
 	f.mergeSuspects(reply.Suspects)
 	f.peersAsked.Store(true)
 	f.storeView.advance(reply.Revision)
-	f.storeView.markComplete(time.Now().Add(-reply.Age))
+	f.storeView.markComplete(a.at.Add(-reply.Age))
 	f.advanceCursor(from, reply)
 	return nil
 }
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -58,7 +58,10 @@
 	Cursor Cursor
 	// Revision is the store revision of the daemon's state; zero if it has none.
 	Revision hysmember.Revision
-	// Age is how long ago the daemon was last up to date with the store.
+	// Age is how long ago the daemon was last up to date with the store. To what the
+	// daemon states, Client.Follow adds all the time that the call may have taken on
+	// the way: a copy must never count as younger than its original, or two daemons
+	// that copy from each other would take themselves for up to date.
 	Age time.Duration
 	// Configuration is the encoded configuration as the store holds it; empty if it
 	// has not changed.
@@ -115,7 +118,10 @@
 		Departures: decodeDepartures(r.Msg.Leavers),
 		Era:        hysmember.Era(r.Msg.Era),
 	}
-	return connect.NewResponse(encodeFollowReply(s.follow(ctx, request))), nil
+	began := time.Now()
+	reply := encodeFollowReply(s.follow(ctx, request))
+	reply.HeldUs = time.Since(began).Microseconds()
+	return connect.NewResponse(reply), nil
 }
 
 // Client calls other daemons. It is safe for concurrent use.
@@ -150,6 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+callTimeout)
 	defer cancel()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
+	began := time.Now()
 	r, err := service.Follow(ctx, connect.NewRequest(&front.FollowRequest{
 		Source: request.Since.Incarnation, Version: uint64(request.Since.Version), WaitMs: request.Wait.Milliseconds(),
 		Leavers: encodeDepartures(request.Departures), Era: int64(request.Era),
@@ -157,7 +164,10 @@
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("Client.Follow: %s: %w", address, err)
 	}
-	return decodeFollowReply(r.Msg), nil
+	reply := decodeFollowReply(r.Msg)
+	held := time.Duration(r.Msg.HeldUs) * time.Microsecond
+	reply.Age += max(0, time.Since(began)-held)
+	return reply, nil
 }
 
 // Close closes the idle connections.
@@ -166,7 +176,7 @@
 func encodeFollowReply(reply FollowReply) *front.FollowReply {
 	r := &front.FollowReply{
 		Source: reply.Cursor.Incarnation, Version: uint64(reply.Cursor.Version),
-		Revision: reply.Revision.Number, Era: int64(reply.Revision.Era), AgeMs: reply.Age.Milliseconds(),
+		Revision: reply.Revision.Number, Era: int64(reply.Revision.Era), AgeMs: ceilMilliseconds(reply.Age),
 		Configuration: reply.Configuration, ConfigurationRevision: reply.ConfigurationRevision.Number,
 		ConfigurationEra: int64(reply.ConfigurationRevision.Era),
 		Whole:            reply.Searchers.Full, Digest: uint64(reply.Searchers.Digest),
@@ -194,6 +204,11 @@
 	return r
 }
 
+// ceilMilliseconds rounds up, so that no age gets lower on its way.
+func ceilMilliseconds(age time.Duration) int64 {
+	return (age + time.Millisecond - 1).Milliseconds()
+}
+
 func encodeDepartures(departures hysmember.Departures) []*front.Leaver {
 	messages := make([]*front.Leaver, 0, len(departures))
 	for _, d := range departures {
--- a/io/hysrelay/relay_test.go
+++ b/io/hysrelay/relay_test.go
@@ -65,8 +65,11 @@
 			Since: hysrelay.Cursor{Incarnation: "start-1", Version: 3}, Wait: 40 * time.Millisecond,
 			Departures: hysmember.Departures{{ID: "s-4", StartTime: 13}},
 		}
+		began := time.Now()
 		n, err := client.Follow(ctx, address, request)
 		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Age).To(And(BeNumerically(">=", sent.Age), BeNumerically("<=", sent.Age+time.Since(began))), "the way is added")
+		n.Age = sent.Age
 		Expect(n).To(Equal(sent))
 		Expect(received).To(Equal(request))
 	})
