A daemon that the store refuses asks other zones too, and follows the one that has more

Cause: a round asked the three nearest daemons. In a zone of four or more these are of the zone, and know as little. And a source that was as old as the copy taken from it a moment ago was turned down, so that every good source was lost after one round; changes waited for the next round, 0.4 s later.

core/hysmember.Sources now decides: one of the zone, one of the region and one of another region are asked for the age of their state only, at the same time; those that had nothing newer come last. The first one with a younger state is followed, as followers follow their reader, until the store serves again, so that a change comes at once. It must be younger when it is adopted, and ages never fall on the way, so that no ring of followers can form. Others are asked 0.3 s after an answer of the store is due (before: 0.8 s), and a search is as fast as ten rounds a second only in its first second.

--- a/core/hysmember/nearest.go
+++ b/core/hysmember/nearest.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,26 +26,3 @@
 		)
 	}), true
 }
-
-// ByDistance returns the instances in the order in which an instance of the
-// given zone and region asks them for updates: first the one that sent the last
-// updates, which need not send the full state again, then those of the zone,
-// then those of the region. Instances at the same distance are in random order.
-func (m Instances) ByDistance(zone Zone, region Region, last InstanceID) Instances {
-	rank := func(i Instance) int {
-		switch {
-		case i.ID == last:
-			return 0
-		case i.Zone == zone:
-			return 1
-		case i.Region == region:
-			return 2
-		default:
-			return 3
-		}
-	}
-	order := slices.Clone(m)
-	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	slices.SortStableFunc(order, func(a, b Instance) int { return cmp.Compare(rank(a), rank(b)) })
-	return order
-}
--- a/io/hysfront/dependency.go
+++ b/io/hysfront/dependency.go
@@ -11,8 +11,9 @@
 	mu               sync.Mutex
 	unavailable      bool
 	unavailableSince time.Time
-	// lastAvailable is when it was last available.
+	// lastAvailable is when it was last available, markedAt when this was last found.
 	lastAvailable time.Time
+	markedAt      time.Time
 }
 
 // age returns the time since the dependency was last available.
@@ -40,12 +41,20 @@
 	return d.unavailable
 }
 
+// markedSince reports whether the dependency was found available after a time.
+func (d *dependency) markedSince(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.markedAt.After(at)
+}
+
 // markAvailable records that the dependency was available some time ago. It reports
 // whether the dependency was unavailable until now, and for how long.
 func (d *dependency) markAvailable(ago time.Duration) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastAvailable = time.Now().Add(-ago)
+	d.markedAt = time.Now()
+	d.lastAvailable = d.markedAt.Add(-ago)
 	if !d.unavailable {
 		return 0, false
 	}
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -113,9 +113,9 @@
 	// does not serve this one.
 	otherInstances dependency
 	relayClient    *hysrelay.Client
-	// lastPeer is the daemon that sent updates in the last round. Only the loop of
-	// syncFromPeers uses it.
-	lastPeer hysmember.InstanceID
+	// sources chooses the daemon that sends updates while the store does not serve this
+	// one. Only the loop of syncFromPeers uses it.
+	sources *hysmember.Sources
 	// following is set while the daemon follows a reader instead of the store.
 	following atomic.Bool
 	// incarnation identifies this start of the daemon, started is when it was.
@@ -202,6 +202,7 @@
 		incarnation:        uuid.NewString(),
 		started:            time.Now(),
 
+		sources:   hysmember.NewSources(hysmember.Instance{ID: s.Instance, Zone: s.Zone, Region: s.Region}, time.Now),
 		delegates: hysgather.NewDelegates(time.Now),
 		relays:    hysgather.NewRelays(time.Now),
 		suspects:  hysquarantine.NewTracker(time.Now),
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,98 +15,9 @@
 const (
 	errStale   = errors.ConstError("the store does not serve that instance either")
 	errNoPeers = errors.ConstError("no other instance is known")
+	errNoNewer = errors.ConstError("no instance that was asked has a newer state")
 )
 
-// Timing and bounds of requesting updates from other daemons.
-const (
-	peerSyncInterval = 400 * time.Millisecond
-	// firstPeerSyncInterval is the interval of a daemon without any configuration.
-	firstPeerSyncInterval = 100 * time.Millisecond
-	// maxUpdateAge is the maximum age of another daemon's state while the store
-	// does not serve this one.
-	maxUpdateAge = 3 * time.Second
-	// startAskTime is how long after its start a daemon asks others what they know.
-	startAskTime = 2 * time.Second
-	// fullStateInterval is the minimum time between two requests for a full state.
-	fullStateInterval = time.Second
-	// peersPerRound is the maximum number of daemons that are tried in one round.
-	peersPerRound = 3
-)
-
-// syncFromPeers requests from other daemons what the store does not provide to this
-// one.
-func (f *Front) syncFromPeers(ctx context.Context) {
-	for ; ctx.Err() == nil; sleep(ctx, f.peerSyncDelay()) {
-		if !f.needsPeers() {
-			continue
-		}
-		err := f.pullFromPeers(ctx)
-		switch {
-		case err == nil:
-			if outage, ok := f.otherInstances.markAvailable(0); ok {
-				f.log.Info("other instances reachable again", "away", outage)
-			}
-		case f.otherInstances.markUnavailable():
-			f.log.Warn("no other instance reachable", "error", err)
-		}
-	}
-}
-
-// needsPeers reports whether updates must come from other daemons: the store does
-// not serve this one, or this one lags behind the store. A daemon that has just
-// started does not wait for a store that hangs, and asks others once in any case.
-func (f *Front) needsPeers() bool {
-	return f.asksAtStart() || f.store.isUnavailable() || !f.searchersKnown.Load() || f.storeView.age() > f.maxReaderAge()
-}
-
-// asksAtStart reports whether this daemon has just started and must still ask others:
-// the store may have come back from a copy that lacks what they know.
-func (f *Front) asksAtStart() bool {
-	return !f.settings.FirstStart && !f.peersAsked.Load() && time.Since(f.started) < startAskTime && len(f.peers()) > 0
-}
-
-// peerSyncDelay returns the time until the next round.
-func (f *Front) peerSyncDelay() time.Duration {
-	if f.configuration() == nil || f.asksAtStart() {
-		return firstPeerSyncInterval
-	}
-	return peerSyncInterval
-}
-
-// pullFromPeers tries some other daemons in turn, and applies the updates of the
-// first one that has recent ones.
-func (f *Front) pullFromPeers(ctx context.Context) error {
-	peers := f.peers().ByDistance(f.settings.Zone, f.settings.Region, f.lastPeer)
-	lastErr := fmt.Errorf("pullFromPeers: %w", errNoPeers)
-	maxAge := min(maxUpdateAge, f.storeView.age())
-	if f.asksAtStart() {
-		maxAge = maxUpdateAge
-	}
-	for _, i := range peers[:min(len(peers), peersPerRound)] {
-		if _, err := f.pullFrom(ctx, i, pull{maxAge: maxAge}); err != nil {
-			f.log.Info("updates of another instance not used", "from", i.ID, "known-age-ms", f.storeView.age().Milliseconds(), "error", err)
-			lastErr = fmt.Errorf("pullFromPeers: %w", err)
-			f.lastPeer = ""
-			continue
-		}
-		if f.lastPeer != i.ID {
-			f.log.Info("updates come from another instance", "from", i.ID, "known-age-ms", f.storeView.age().Milliseconds())
-		}
-		f.lastPeer = i.ID
-		return nil
-	}
-	return lastErr
-}
-
-// peers returns the other announced daemons that have an address.
-func (f *Front) peers() hysmember.Instances {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(f.announced), func(i hysmember.Instance) bool {
-		return i.Address == "" || i.ID == f.settings.Instance
-	})
-}
-
 // pull is how updates are requested from another daemon.
 type pull struct {
 	// wait is how long it may wait for updates, maxAge the maximum age of its state.
@@ -211,6 +121,9 @@
 // serveFollow answers another daemon once there are updates for it, or when its
 // wait ends.
 func (f *Front) serveFollow(ctx context.Context, request hysrelay.FollowRequest) hysrelay.FollowReply {
+	if request.AgeOnly {
+		return f.ageReply()
+	}
 	f.handleChanges(f.directory.MarkAllLeaving(request.Departures))
 	f.eras.Raise(request.Era)
 	since := request.Since
@@ -227,6 +140,14 @@
 	return f.followReply(since.Version)
 }
 
+// ageReply returns how old the state of this daemon is, without the state.
+func (f *Front) ageReply() hysrelay.FollowReply {
+	if !f.searchersKnown.Load() {
+		return hysrelay.FollowReply{}
+	}
+	return hysrelay.FollowReply{Age: f.storeView.age(), Revision: f.storeView.appliedRevision()}
+}
+
 // followReply returns the updates of this daemon since a version.
 func (f *Front) followReply(since hysmember.Version) hysrelay.FollowReply {
 	if !f.searchersKnown.Load() {
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -85,6 +85,9 @@
 	Departures hysmember.Departures
 	// Era is the era of the store that the requesting daemon knows.
 	Era hysmember.Era
+	// AgeOnly asks for the age and the revision of the state alone, at once. A daemon
+	// of the release before sends the whole state.
+	AgeOnly bool
 }
 
 // FollowFunc waits until there are updates, or until the wait of the request ends,
@@ -117,6 +120,7 @@
 		Wait:       min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxWait),
 		Departures: decodeDepartures(r.Msg.Leavers),
 		Era:        hysmember.Era(r.Msg.Era),
+		AgeOnly:    r.Msg.AgeOnly,
 	}
 	began := time.Now()
 	reply := encodeFollowReply(s.follow(ctx, request))
@@ -159,7 +163,7 @@
 	began := time.Now()
 	r, err := service.Follow(ctx, connect.NewRequest(&front.FollowRequest{
 		Source: request.Since.Incarnation, Version: uint64(request.Since.Version), WaitMs: request.Wait.Milliseconds(),
-		Leavers: encodeDepartures(request.Departures), Era: int64(request.Era),
+		Leavers: encodeDepartures(request.Departures), Era: int64(request.Era), AgeOnly: request.AgeOnly,
 	}))
 	if err != nil {
 		return FollowReply{}, fmt.Errorf("Client.Follow: %s: %w", address, err)
