--- a/io/hysfront/apply.go
+++ b/io/hysfront/apply.go
@@ -10,6 +10,9 @@
 // applyConfiguration puts a configuration in force unless the current one is as new
 // or newer. It reports whether it did.
 func (f *Front) applyConfiguration(c StoredConfiguration, a arrival) bool {
+	if c.Err != nil {
+		f.log.Error("configuration not usable", "way", a.way.String(), "from", a.from, "error", c.Err)
+	}
 	for _, s := range c.Skipped {
 		f.log.Warn("invalid route ignored", "route", s.Route, "error", s.Err)
 	}
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -138,13 +138,15 @@
 			s.changes = s.changes[1:]
 			return next, nil
 		},
-		Decode: func(raw []byte) (hysfront.StoredConfiguration, error) {
+		Decode: func(raw []byte) hysfront.StoredConfiguration {
 			var version hysroute.Version
-			_, err := fmt.Sscan(string(raw), &version)
+			if _, err := fmt.Sscan(string(raw), &version); err != nil {
+				return hysfront.StoredConfiguration{Err: err}
+			}
 			scripted := &store{version: version, shards: s.shards, goal: s.goal, books: s.books}
 			c := scripted.configuration()
 			c.Raw = raw
-			return c, err
+			return c
 		},
 		Eras: s.eras,
 		Announce: func(context.Context, hysmember.Instance, time.Duration) (hysfront.LeaseID, error) {
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -50,7 +50,8 @@
 	if p.follows {
 		arrived.way = wayReader
 	}
-	return reply.Age, f.applyReply(arrived, reply)
+	f.applyReply(arrived, reply)
+	return reply.Age, nil
 }
 
 // followRequest returns the request to another daemon for the updates since the
@@ -75,15 +76,12 @@
 }
 
 // applyReply applies the updates of another daemon.
-func (f *Front) applyReply(a arrival, reply hysrelay.FollowReply) error {
+func (f *Front) applyReply(a arrival, reply hysrelay.FollowReply) {
 	from := a.from
 	f.observeEra(reply.Revision.Era)
 	var c StoredConfiguration
 	if len(reply.Configuration) > 0 {
-		var err error
-		if c, err = f.source.Decode(reply.Configuration); err != nil {
-			return fmt.Errorf("apply the updates of %s: %w", from, err)
-		}
+		c = f.source.Decode(reply.Configuration)
 		c.Revision = reply.ConfigurationRevision
 	}
 	if reply.Searchers.Full {
@@ -101,7 +99,6 @@
 	f.storeView.advance(reply.Revision)
 	f.storeView.markComplete(a.at.Add(-reply.Age))
 	f.advanceCursor(from, reply)
-	return nil
 }
 
 // advanceCursor records from where the updates of another daemon continue. If the
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -31,6 +31,8 @@
 	Revision hysmember.Revision
 	// Raw is the encoded configuration as the store holds it.
 	Raw []byte
+	// Err says why a newer one can't be used.
+	Err error
 }
 
 // Snapshot is the configuration and the full list of the searchers.
@@ -99,7 +101,7 @@
 	// the revision of what it returns is of another era, changes may be missing.
 	Watch func(ctx context.Context, after hysmember.Revision, wait time.Duration) (Changes, error)
 	// Decode decodes a configuration as the store holds it.
-	Decode func([]byte) (StoredConfiguration, error)
+	Decode func([]byte) StoredConfiguration
 	// Announce lists an instance for other daemons, for as long as its lease is
 	// renewed.
 	Announce func(context.Context, hysmember.Instance, time.Duration) (LeaseID, error)
