A daemon whose gatherer has a newer configuration gets it from there

Its queries are answered by a gatherer with the newer version, its other requests by its own older one, so that callers see newer and older in turn at one daemon, for as long as the store seems unchanged (stale or silent). The spec failed before: still version 1 after 250 ms.

--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -93,6 +93,9 @@
 	requestWaitingOnce sync.Once
 	// expiryScheduled is set while a timer waits for missing entries to expire.
 	expiryScheduled atomic.Bool
+	// heardScheduled is set while a timer waits for a configuration that another daemon
+	// has answered by.
+	heardScheduled atomic.Bool
 	// searchersKnown is set once the list of searchers is known.
 	searchersKnown atomic.Bool
 	// peersAsked is set once another daemon has sent what it knows.
--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -113,6 +113,7 @@
 		answer, err := f.delegateTo(ctx, to, d, lost)
 		if err == nil {
 			answer.Instance = string(to.ID)
+			f.heardOf(answer.Record.Configuration, to)
 			return answer, d.UsedAttempts, nil
 		}
 		if ctx.Err() != nil || errors.Is(err, hysingress.ErrGathererLost) {
--- a/io/hysfront/gather_test.go
+++ b/io/hysfront/gather_test.go
@@ -1,6 +1,7 @@
 package hysfront_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -88,10 +89,15 @@
 	var gathererAddress func(hysmember.Address) hysmember.Address
 	// acceptTimeout is how long a gatherer may take to accept a query.
 	var acceptTimeout time.Duration
+	// entryZone is the availability zone of the daemon, and entryWatch its watch of the
+	// store, nil for the usual one.
+	var entryZone hysmember.Zone
+	var entryWatch func(context.Context, hysmember.Revision, time.Duration) (hysfront.Changes, error)
 
 	BeforeEach(func() {
 		gathererAddress = func(address hysmember.Address) hysmember.Address { return address }
 		acceptTimeout = generousTimeout
+		entryZone, entryWatch = "z", nil
 	})
 
 	// startAll starts a daemon and a gatherer. Another gatherer at an address and
@@ -99,6 +105,7 @@
 	startAll := func(first byte, second hysmember.Address) {
 		ip := func(n byte) string { return fmt.Sprintf("127.0.1.%d", first+n) }
 		entry, gatherer = newDaemon(ip(0)), newDaemon(ip(1))
+		entry.settings.Zone = entryZone
 		entry.options = []hysfront.Option{hysfront.WithGathererAcceptTimeout(acceptTimeout)}
 		entry.settings.ProcessorShare, gatherer.settings.ProcessorShare = weak, strong
 		all := hysmember.Instances{entry.instance(), gatherer.instance()}
@@ -116,7 +123,11 @@
 			entries: hysmember.Entries{desk.entry, ledger.entry},
 		}
 		for _, d := range []*daemon{gatherer, entry} {
-			d.start(sharedStore)
+			source := sharedStore.source()
+			if d == entry && entryWatch != nil {
+				source.Watch = entryWatch
+			}
+			d.startSource(source)
 			Eventually(d.ready, "3s").Should(Equal(http.StatusOK))
 			Eventually(d.log.String, "3s").Should(ContainSubstring(`"gatherers":2`))
 		}
@@ -253,6 +264,32 @@
 		Eventually(entry.log.String).Should(ContainSubstring("request abandoned"))
 	})
 
+	It("brings the newer configuration of its gatherer to a daemon whose store seems unchanged", func() {
+		entryZone = "entry"
+		var watches atomic.Int64
+		entryWatch = func(_ context.Context, after hysmember.Revision, wait time.Duration) (hysfront.Changes, error) {
+			watches.Add(1)
+			time.Sleep(wait)
+			return hysfront.Changes{Revision: after}, nil
+		}
+		startAll(130, "127.0.0.1:1")
+		// A daemon that starts asks others until the store has served it.
+		Eventually(watches.Load, "5s").Should(BeNumerically(">=", 3))
+		newer := &store{version: 9, revision: hystest.Revision(90), shards: sharedStore.shards}
+		sharedStore.withLock(func() {
+			sharedStore.changes = []hysfront.Changes{{Configuration: newer.configuration(), Revision: hystest.Revision(90), Events: 1}}
+		})
+		Eventually(gatherer.version, "2s").Should(BeEquivalentTo(9))
+		Expect(entry.version()).To(BeEquivalentTo(1))
+		Eventually(func() int {
+			entry.requestPath("/query/1")
+			return strings.Count(entry.log.String(), `"configuration":9`)
+		}, "2s").Should(BeNumerically(">", 0))
+		// Callers may see the older one again for so long.
+		const seenAgainWithin = 250 * time.Millisecond
+		Eventually(entry.version, seenAgainWithin, "5ms").Should(BeEquivalentTo(9))
+	})
+
 	It("is not gathered with an older configuration than that of the entry instance", func() {
 		startAll(60, "127.0.0.1:1")
 		newer := &store{version: 9, revision: hystest.Revision(90), shards: sharedStore.shards}
