A follower leaves its reader when the state is too old, not up to 0.5 s later

With a limit of 3 s the longest, 'the reader gets nothing new and the store is silent', was 3.0 s: a follower whose poll was held for 0.5 s found out at 2.5 s that the state had been too old at 2.0 s. It now waits no longer than that: 2.6 s. CallTimeout and SearchInterval are exported for the sums.

--- a/core/hysmember/sources.go
+++ b/core/hysmember/sources.go
@@ -8,10 +8,10 @@
 
 // Timing of the search for a source.
 const (
-	// searchInterval is the time between two rounds of a search that has just begun,
+	// SearchInterval is the time between two rounds of a search that has just begun,
 	// slowSearchInterval that of one that goes on for longer than quickSearchTime: then
 	// the store most likely serves nobody.
-	searchInterval     = 100 * time.Millisecond
+	SearchInterval     = 100 * time.Millisecond
 	slowSearchInterval = 400 * time.Millisecond
 	quickSearchTime    = 1 * time.Second
 )
@@ -145,5 +145,5 @@
 	if !s.searchingSince.IsZero() && s.now().Sub(s.searchingSince) > quickSearchTime {
 		return slowSearchInterval
 	}
-	return searchInterval
+	return SearchInterval
 }
--- a/io/hysfront/export_test.go
+++ b/io/hysfront/export_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
+	"hyssopshore/io/hysrelay"
 )
 
 // ApplyConfiguration puts a configuration in force as the loops of a daemon do.
@@ -30,3 +32,40 @@
 	defer f.budgetMu.Unlock()
 	return f.slack(service)
 }
+
+// tripTime is the longest time of a call that is answered at once, between regions and at
+// busy daemons.
+const tripTime = 100 * time.Millisecond
+
+// searchRounds is how many rounds of a search may find only daemons that have nothing
+// newer, where at least every other one has.
+const searchRounds = 2
+
+// ApplyTime is the longest time from the acknowledgement of a change until it is in force
+// at a daemon that gets it in a certain way.
+type ApplyTime struct {
+	Way  string
+	Calm bool
+	Time time.Duration
+}
+
+// ApplyTimes returns the longest times of all ways, as the sums of the times that the
+// daemon waits on each.
+func (f *Front) ApplyTimes() []ApplyTime {
+	read := f.readInterval() + tripTime
+	search := peerCheckInterval + searchRounds*hysmember.SearchInterval + 2*tripTime
+	silent := followWait + hysrelay.CallTimeout
+	lostReader := f.maxReaderAge() + followInterval + tripTime
+	return []ApplyTime{
+		{"watch", true, read},
+		{"reader", true, read + followInterval + tripTime},
+		{"full read, the history is gone", false, read + 2*tripTime},
+		{"search, the store refuses", false, read + search},
+		{"search, the store is silent", false, f.readInterval() + storeAnswerMargin + search},
+		{"search, the source in use is silent", false, silent + search},
+		{"watch, the reader is silent", false, silent + tripTime},
+		{"watch, the reader gets nothing new", false, lostReader + tripTime},
+		{"search, the reader is silent and the store too", false, max(silent, f.readInterval()+storeAnswerMargin) + search},
+		{"search, the reader gets nothing new and the store is silent", false, lostReader + search},
+	}
+}
--- a/io/hysfront/follow.go
+++ b/io/hysfront/follow.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	pullCtx, stop := f.untilRequestWaits(ctx)
-	age, err := f.pullFrom(pullCtx, reader, pull{wait: followWait, maxAge: f.maxReaderAge(), follows: true})
+	age, err := f.pullFrom(pullCtx, reader, pull{wait: f.readerWait(), maxAge: f.maxReaderAge(), follows: true})
 	stop()
 	if err != nil {
 		p.directReadUntil = time.Now().Add(f.directReadTime(*p))
@@ -136,6 +136,15 @@
 	return true
 }
 
+// readerWait returns how long the reader may wait for changes: not beyond the moment at
+// which its state is too old to be followed.
+func (f *Front) readerWait() time.Duration {
+	if !f.searchersKnown.Load() {
+		return followWait
+	}
+	return min(followWait, max(0, f.maxReaderAge()-f.storeView.age()))
+}
+
 // hasWaitingRequests reports whether callers' requests wait for state that this
 // daemon does not have yet. This happens when all daemons start after a power
 // loss: each of them gets requests at once, and the reader of its zone has no more
--- a/io/hysfront/refused_test.go
+++ b/io/hysfront/refused_test.go
@@ -205,6 +205,37 @@
 	return reply
 }
 
+var _ = Describe("a daemon whose reader gets nothing new", func() {
+	It("reads the store itself before its state is older than a reader's may be", func() {
+		one, other := newDaemon("127.0.0.77"), newDaemon("127.0.0.78")
+		all := hysmember.Instances{one.instance(), other.instance()}
+		if _, ok := all.Reader(one.settings.Instance); ok {
+			one, other = other, one
+		}
+		readerStore := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, peers: all}
+		source, hangs := readerStore.source(), &atomic.Value{}
+		watch := source.Watch
+		source.Watch = func(ctx context.Context, after hysmember.Revision, wait time.Duration) (hysfront.Changes, error) {
+			if err := failAs(ctx, hangs, time.Minute); err != nil {
+				return hysfront.Changes{}, err
+			}
+			return watch(ctx, after, wait)
+		}
+		one.startSource(source)
+		Eventually(one.ready, "3s").Should(Equal(http.StatusOK))
+		other.start(&store{version: 1, revision: hystest.Revision(5), entries: readerStore.entries, peers: hysmember.Instances{all[0], all[1]}})
+		Eventually(other.log.String, "4s").Should(ContainSubstring("following reader"))
+		hangs.Store(faultSilent)
+		oldest := time.Duration(0)
+		Eventually(func() string {
+			oldest = max(oldest, other.follow().Age)
+			return other.log.String()
+		}, "5s", "5ms").Should(ContainSubstring("reader lost"))
+		// The age that a reader's state may have with a limit of 3 s, and a few polls.
+		Expect(oldest).To(BeNumerically("<=", 2*time.Second+150*time.Millisecond))
+	})
+})
+
 var _ = Describe("the age of a state", func() {
 	It("is not lowered by the time that a copy of it took", func() {
 		const age, transit = 300 * time.Millisecond, 250 * time.Millisecond
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -33,8 +33,8 @@
 // Timeouts of a call.
 const (
 	dialTimeout = 200 * time.Millisecond
-	// callTimeout is how much longer a call may take than the wait that it requests.
-	callTimeout = 400 * time.Millisecond
+	// CallTimeout is how much longer a call may take than the wait that it requests.
+	CallTimeout = 400 * time.Millisecond
 	idleTimeout = 10 * time.Second
 	// maxIdle bounds the idle connections to one daemon. One that runs what this daemon
 	// can't has many calls at the same time.
@@ -157,7 +157,7 @@
 // Follow requests the updates of a daemon since a cursor. The daemon answers once it
 // has updates, or when the wait of the request ends.
 func (c *Client) Follow(ctx context.Context, address hysmember.Address, request FollowRequest) (FollowReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+CallTimeout)
 	defer cancel()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
 	began := time.Now()
