A daemon whose announcement has failed announces itself again after 3 s

The new spec failed before (no second try in 4.5 s). A fleet spreads its tries as in a new era. Not mended by this: a daemon that starts while the list lacks the others.

--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -13,6 +13,9 @@
 const (
 	announceLease = 30 * time.Second
 	renewInterval = 9 * time.Second
+	// announceRetryInterval is the minimum time until an announcement that has failed is
+	// made again.
+	announceRetryInterval = 3 * time.Second
 	// startupWindow is the time within which all daemons have announced themselves
 	// if they start at the same time.
 	startupWindow = 500 * time.Millisecond
@@ -46,15 +49,25 @@
 		if !f.following.Load() {
 			f.readSharedState(ctx)
 		}
-		f.awaitRenewal(ctx)
+		f.awaitRenewal(ctx, f.renewDelay(lease))
 		lease = f.keepAnnounced(ctx, lease)
 	}
 }
 
+// renewDelay returns the time until an announcement must be renewed. While there is none,
+// others do not count this instance, so that it is tried again sooner, but not by all
+// daemons at the same time.
+func (f *Front) renewDelay(a announcement) time.Duration {
+	if a.lease != 0 {
+		return renewInterval
+	}
+	return min(renewInterval, max(announceRetryInterval, f.announceSpread()))
+}
+
 // awaitRenewal waits until the announcement must be renewed, or made again because the
 // store may have lost it.
-func (f *Front) awaitRenewal(ctx context.Context) {
-	timer := time.NewTimer(renewInterval)
+func (f *Front) awaitRenewal(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/io/hysfront/era_test.go
+++ b/io/hysfront/era_test.go
@@ -60,6 +60,19 @@
 	return ok && r.ID == reader
 }
 
+var _ = Describe("a frontend daemon whose announcement fails", func() {
+	It("announces itself again after seconds, since the others do not count it", func() {
+		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, failsAnnouncements: true}
+		start(s, "127.0.0.76")
+		announcements := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.announcements }
+		Eventually(announcements, "2s").Should(Equal(1))
+		Eventually(announcements, "4500ms").Should(Equal(2))
+		s.withLock(func() { s.failsAnnouncements = false })
+		Eventually(announcements, "4500ms").Should(Equal(3))
+		Consistently(announcements, "4s").Should(Equal(3))
+	})
+})
+
 var _ = Describe("a frontend daemon whose store begins an era", func() {
 	It("reads all of it again, keeps what it lacks for a while, and announces itself", func() {
 		s := eraStore(1, 50, hysmember.Entries{searcher("s-1", 0)})
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -60,8 +60,9 @@
 	eras *hysmember.Eras
 	// onShared is called before the shared state is read, with the lock held.
 	onShared func()
-	// announcements counts them.
-	announcements int
+	// announcements counts them, also those that fail because failsAnnouncements is set.
+	announcements      int
+	failsAnnouncements bool
 	// evidence holds the crash evidence that was written.
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
@@ -153,6 +154,9 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.announcements++
+			if s.failsAnnouncements {
+				return 0, errStoreUnavailable
+			}
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
