--- a/io/hysfront/refused_test.go
+++ b/io/hysfront/refused_test.go
@@ -225,6 +225,8 @@
 		Eventually(one.ready, "3s").Should(Equal(http.StatusOK))
 		other.start(&store{version: 1, revision: hystest.Revision(5), entries: readerStore.entries, peers: hysmember.Instances{all[0], all[1]}})
 		Eventually(other.log.String, "4s").Should(ContainSubstring("following reader"))
+		// Otherwise a poll would end at the very age at which it has to.
+		time.Sleep(300 * time.Millisecond)
 		hangs.Store(faultSilent)
 		oldest := time.Duration(0)
 		Eventually(func() string {
