--- a/io/hysfront/peersync.go
+++ b/io/hysfront/peersync.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hyssopshore/core/hysmember"
 	"hyssopshore/io/hysrelay"
 )
@@ -27,6 +29,12 @@
 	fullStateInterval = time.Second
 )
 
+// Reasons for which no other daemon sends updates.
+const (
+	errNoPeers = errors.ConstError("no other instance is known")
+	errNoNewer = errors.ConstError("no instance that was asked has a newer state")
+)
+
 // syncFromPeers requests from other daemons what the store does not provide to this
 // one.
 func (f *Front) syncFromPeers(ctx context.Context) {
--- a/io/hysfront/relay.go
+++ b/io/hysfront/relay.go
@@ -11,12 +11,8 @@
 	"hyssopshore/io/hysrelay"
 )
 
-// Reasons for which no updates came from other daemons.
-const (
-	errStale   = errors.ConstError("the store does not serve that instance either")
-	errNoPeers = errors.ConstError("no other instance is known")
-	errNoNewer = errors.ConstError("no instance that was asked has a newer state")
-)
+// errStale means that another daemon's state is too old to be used.
+const errStale = errors.ConstError("the store does not serve that instance either")
 
 // pull is how updates are requested from another daemon.
 type pull struct {
@@ -118,11 +114,11 @@
 // serveFollow answers another daemon once there are updates for it, or when its
 // wait ends.
 func (f *Front) serveFollow(ctx context.Context, request hysrelay.FollowRequest) hysrelay.FollowReply {
+	f.eras.Raise(request.Era)
 	if request.AgeOnly {
 		return f.ageReply()
 	}
 	f.handleChanges(f.directory.MarkAllLeaving(request.Departures))
-	f.eras.Raise(request.Era)
 	since := request.Since
 	if since.Incarnation != f.incarnation {
 		since = hysrelay.Cursor{}
