--- a/core/hysmember/sources.go
+++ b/core/hysmember/sources.go
@@ -43,10 +43,11 @@
 	return &Sources{now: now, self: self, triedAt: make(map[InstanceID]time.Time)}
 }
 
-// Current returns the source in use if it is still listed.
+// Current returns the source in use. One that is no longer listed is in use no longer.
 func (s *Sources) Current(listed Instances) (Instance, bool) {
 	at := slices.IndexFunc(listed, func(i Instance) bool { return i.ID == s.current })
 	if at < 0 {
+		s.current = ""
 		return Instance{}, false
 	}
 	return listed[at], true
--- a/core/hysmember/sources_test.go
+++ b/core/hysmember/sources_test.go
@@ -158,6 +158,8 @@
 	It("is none once it is no longer listed, or none is needed", func() {
 		_, ok := s.Current(peers[1:])
 		Expect(ok).To(BeFalse())
+		Expect(s.AdoptedAt()).To(BeZero(), "no longer listed")
+		s.Adopt("a")
 		s.Release()
 		Expect(s.AdoptedAt()).To(BeZero())
 	})
