A daemon that could not read the list of instances at its start reads it again after 1 s

Cause: the store refused a daemon's reads while it started. The list of instances is read at the start and then every 9 s; so the daemon knew nobody whom it could ask when the store refused it again (logs: 'instances counted' only 6.9 s after the start, 'no other instance is known' before). The list is now read again each second until it was read once. A follower needs none: its reader sends the list.

--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -16,6 +16,9 @@
 	// announceRetryInterval is the minimum time until an announcement that has failed is
 	// made again.
 	announceRetryInterval = 3 * time.Second
+	// firstListInterval is the time between two reads of the list of instances while none
+	// has succeeded: until then this daemon knows nobody whom it could ask.
+	firstListInterval = 1 * time.Second
 	// startupWindow is the time within which all daemons have announced themselves
 	// if they start at the same time.
 	startupWindow = 500 * time.Millisecond
@@ -54,11 +57,14 @@
 	}
 }
 
-// renewDelay returns the time until an announcement must be renewed. While there is none,
-// others do not count this instance, so that it is tried again sooner, but not by all
-// daemons at the same time.
+// renewDelay returns the time until an announcement must be renewed and the list of
+// instances read again. While there is no announcement, others do not count this
+// instance, so that it is tried again sooner, but not by all daemons at the same time.
 func (f *Front) renewDelay(a announcement) time.Duration {
-	if a.lease != 0 {
+	switch {
+	case !f.instancesRead.Load() && !f.following.Load():
+		return firstListInterval
+	case a.lease != 0:
 		return renewInterval
 	}
 	return min(renewInterval, max(announceRetryInterval, f.announceSpread()))
@@ -103,6 +109,7 @@
 		// its failures.
 		return
 	}
+	f.instancesRead.Store(true)
 	f.observeEra(f.eras.Current())
 	f.applyEvidence(shared.Evidence)
 	if len(shared.Instances) > 0 {
--- a/io/hysfront/era_test.go
+++ b/io/hysfront/era_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -60,6 +61,26 @@
 	return ok && r.ID == reader
 }
 
+var _ = Describe("a frontend daemon that can't read the list of instances at its start", func() {
+	It("knows the others soon after the store serves it", func() {
+		d := newDaemon("127.0.0.79")
+		other := hysmember.Instance{ID: "other", Address: "127.0.0.1:1", Zone: "z"}
+		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, peers: hysmember.Instances{d.instance(), other}}
+		source, served := s.source(), atomic.Bool{}
+		read := source.ReadSharedState
+		source.ReadSharedState = func(ctx context.Context) (hysfront.SharedState, error) {
+			if !served.Load() {
+				return hysfront.SharedState{}, errStoreUnavailable
+			}
+			return read(ctx)
+		}
+		d.startSource(source)
+		time.Sleep(1200 * time.Millisecond)
+		served.Store(true)
+		Eventually(d.log.String, "1500ms").Should(ContainSubstring(`"msg":"instances counted"`))
+	})
+})
+
 var _ = Describe("a frontend daemon whose announcement fails", func() {
 	It("announces itself again after seconds, since the others do not count it", func() {
 		s := &store{version: 1, revision: hystest.Revision(5), entries: hysmember.Entries{searcher("s-1", 0)}, failsAnnouncements: true}
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -96,6 +96,8 @@
 	// heardScheduled is set while a timer waits for a configuration that another daemon
 	// has answered by.
 	heardScheduled atomic.Bool
+	// instancesRead is set once the list of instances was read from the store.
+	instancesRead atomic.Bool
 	// searchersKnown is set once the list of searchers is known.
 	searchersKnown atomic.Bool
 	// peersAsked is set once another daemon has sent what it knows.
