--- a/cmd/hyssopshore/versions.go
+++ b/cmd/hyssopshore/versions.go
@@ -29,13 +29,13 @@
 }
 
 func (c *versionsCommand) run(p *program) error {
-	v := hysversion.New()
+	collector := hysversion.New()
 	for _, name := range c.Files {
-		if err := p.readLog(v.Add, name); err != nil {
+		if err := p.readLog(collector.Add, name); err != nil {
 			return fmt.Errorf("versions: %w", err)
 		}
 	}
-	report := v.Report()
+	report := collector.Report()
 	if c.JSON {
 		p.printJSON(report)
 		return nil
--- a/core/hysmember/sources.go
+++ b/core/hysmember/sources.go
@@ -16,6 +16,14 @@
 	quickSearchTime    = 1 * time.Second
 )
 
+// Distances of other instances from this one, the nearest first.
+const (
+	inZone = iota
+	inRegion
+	elsewhere
+	distances
+)
+
 // candidatesPerRound is how many instances are asked in one round.
 const candidatesPerRound = 3
 
@@ -93,34 +101,35 @@
 	if s.searchingSince.IsZero() {
 		s.searchingSince = s.now()
 	}
-	classes, tried := s.sample(listed)
+	untried, tried := s.sampleUntried(listed)
 	var chosen, others Instances
-	for _, c := range classes {
-		chosen = append(chosen, c.kept[:min(len(c.kept), 1)]...)
-		others = append(others, c.kept[min(len(c.kept), 1):]...)
+	for _, u := range untried {
+		first := min(len(u.kept), 1)
+		chosen = append(chosen, u.kept[:first]...)
+		others = append(others, u.kept[first:]...)
 	}
 	slices.SortFunc(tried, func(a, b Instance) int { return s.triedAt[a.ID].Compare(s.triedAt[b.ID]) })
 	others = append(others, tried...)
 	return append(chosen, others[:min(candidatesPerRound-len(chosen), len(others))]...)
 }
 
-// sample returns a few random instances of this one's zone, of its region and of other
-// regions, and all that were tried.
-func (s *Sources) sample(listed Instances) (classes [3]sample, tried Instances) {
+// sampleUntried returns a few random instances of each distance that were not tried, and
+// all that were.
+func (s *Sources) sampleUntried(listed Instances) (untried [distances]sample, tried Instances) {
 	for _, i := range listed {
 		switch {
 		case i.Address == "" || i.ID == s.self.ID:
 		case !s.triedAt[i.ID].IsZero():
 			tried = append(tried, i)
 		case i.Zone == s.self.Zone:
-			classes[0].add(i)
+			untried[inZone].add(i)
 		case i.Region == s.self.Region:
-			classes[1].add(i)
+			untried[inRegion].add(i)
 		default:
-			classes[2].add(i)
+			untried[elsewhere].add(i)
 		}
 	}
-	return classes, tried
+	return untried, tried
 }
 
 // sample holds as many instances as are asked in a round, each of those that were added
--- a/core/hysversion/versions.go
+++ b/core/hysversion/versions.go
@@ -6,11 +6,11 @@
 //
 // # Usage
 //
-//	v := hysversion.New()
+//	c := hysversion.New()
 //	for scanner.Scan() {
-//		v.Add(scanner.Bytes())
+//		c.Add(scanner.Bytes())
 //	}
-//	for _, version := range v.Report().Versions {
+//	for _, version := range c.Report().Versions {
 //		fmt.Println(version.Number, version.Slowest[0].Instance, version.Slowest[0].DelayMS)
 //	}
 package hysversion
@@ -33,8 +33,8 @@
 // Number is the number of a version.
 type Number int64
 
-// Versions collects the versions in logs. It is not safe for concurrent use.
-type Versions struct {
+// Collector collects the versions in logs. It is not safe for concurrent use.
+type Collector struct {
 	// arrivals holds when each instance first had each version in force.
 	arrivals map[Number]map[string]logLine
 	lines    int
@@ -71,9 +71,12 @@
 	Slowest   Arrivals `json:"slowest"`
 }
 
+// Versions is a list of versions.
+type Versions []Version
+
 // Report is the result of an analysis.
 type Report struct {
-	Versions []Version `json:"versions"`
+	Versions Versions `json:"versions"`
 	// Lines counts all lines that are not empty, BadLines those that can't be read.
 	Lines    int `json:"lines"`
 	BadLines int `json:"bad-lines"`
@@ -90,26 +93,26 @@
 	Late     int64     `json:"late-at-most-ms"`
 }
 
-// New returns a Versions without any lines.
-func New() *Versions {
-	return &Versions{arrivals: make(map[Number]map[string]logLine)}
+// New returns a Collector without any lines.
+func New() *Collector {
+	return &Collector{arrivals: make(map[Number]map[string]logLine)}
 }
 
 // Add counts a line of a log. It ignores text before the JSON object and lines of
 // other events.
-func (v *Versions) Add(text []byte) {
+func (c *Collector) Add(text []byte) {
 	text = bytes.TrimSpace(text)
 	if len(text) == 0 {
 		return
 	}
-	v.lines++
+	c.lines++
 	start := bytes.IndexByte(text, '{')
 	// The message of other lines may have a version of another type.
 	var message struct {
 		Message string `json:"msg"`
 	}
 	if start < 0 || json.Unmarshal(text[start:], &message) != nil {
-		v.badLines++
+		c.badLines++
 		return
 	}
 	if message.Message != messageInForce {
@@ -117,17 +120,17 @@
 	}
 	var line logLine
 	if json.Unmarshal(text[start:], &line) != nil || line.Time.IsZero() {
-		v.badLines++
+		c.badLines++
 		return
 	}
-	v.add(line)
+	c.add(line)
 }
 
-func (v *Versions) add(line logLine) {
-	instances := v.arrivals[line.Version]
+func (c *Collector) add(line logLine) {
+	instances := c.arrivals[line.Version]
 	if instances == nil {
 		instances = make(map[string]logLine)
-		v.arrivals[line.Version] = instances
+		c.arrivals[line.Version] = instances
 	}
 	if known, ok := instances[line.Instance]; !ok || line.Time.Before(known.Time) {
 		instances[line.Instance] = line
@@ -135,20 +138,20 @@
 }
 
 // Report returns the versions in the order of their numbers.
-func (v *Versions) Report() Report {
-	r := Report{Versions: []Version{}, Lines: v.lines, BadLines: v.badLines}
-	for _, number := range slices.Sorted(maps.Keys(v.arrivals)) {
-		r.Versions = append(r.Versions, v.version(number))
+func (c *Collector) Report() Report {
+	r := Report{Versions: Versions{}, Lines: c.lines, BadLines: c.badLines}
+	for _, number := range slices.Sorted(maps.Keys(c.arrivals)) {
+		r.Versions = append(r.Versions, c.version(number))
 	}
 	return r
 }
 
-func (v *Versions) version(number Number) Version {
-	lines := slices.SortedFunc(maps.Values(v.arrivals[number]), func(a, b logLine) int {
+func (c *Collector) version(number Number) Version {
+	lines := slices.SortedFunc(maps.Values(c.arrivals[number]), func(a, b logLine) int {
 		return cmp.Or(b.Time.Compare(a.Time), cmp.Compare(a.Instance, b.Instance))
 	})
 	first := lines[len(lines)-1].Time
-	version := Version{Number: number, First: first, Instances: len(lines), Skipped: v.skipped(number)}
+	version := Version{Number: number, First: first, Instances: len(lines), Skipped: c.skipped(number)}
 	for _, line := range lines[:min(len(lines), maxSlowest)] {
 		version.Slowest = append(version.Slowest, Arrival{
 			Instance: line.Instance, DelayMS: line.Time.Sub(first).Milliseconds(),
@@ -160,9 +163,9 @@
 
 // skipped counts the instances that had an earlier and a later version than this one,
 // but never this one.
-func (v *Versions) skipped(number Number) int {
+func (c *Collector) skipped(number Number) int {
 	earlier, later := make(map[string]bool), make(map[string]bool)
-	for n, instances := range v.arrivals {
+	for n, instances := range c.arrivals {
 		for id := range instances {
 			earlier[id] = earlier[id] || n < number
 			later[id] = later[id] || n > number
@@ -170,7 +173,7 @@
 	}
 	count := 0
 	for id := range earlier {
-		if _, ok := v.arrivals[number][id]; !ok && earlier[id] && later[id] {
+		if _, ok := c.arrivals[number][id]; !ok && earlier[id] && later[id] {
 			count++
 		}
 	}
--- a/core/hysversion/versions_test.go
+++ b/core/hysversion/versions_test.go
@@ -31,11 +31,11 @@
 var _ = Describe("the versions in logs", func() {
 	for _, c := range loadCases() {
 		It(c.Name, func() {
-			v := hysversion.New()
+			collector := hysversion.New()
 			for _, text := range c.Lines {
-				v.Add([]byte(text))
+				collector.Add([]byte(text))
 			}
-			report, err := json.Marshal(v.Report())
+			report, err := json.Marshal(collector.Report())
 			Expect(err).NotTo(HaveOccurred())
 			Expect(report).To(MatchJSON(c.Report))
 		})
--- a/io/hysfront/peersync.go
+++ b/io/hysfront/peersync.go
@@ -111,23 +111,31 @@
 	return f.findSource(ctx, peers)
 }
 
-// findSource asks some other daemons and applies the updates of the first one that has
-// newer ones.
+// findSource asks some other daemons, and follows the first one that has newer updates.
 func (f *Front) findSource(ctx context.Context, peers hysmember.Instances) error {
+	if len(peers) == 0 {
+		return fmt.Errorf("findSource: %w", errNoPeers)
+	}
 	candidates := f.sources.Candidates(peers)
-	maxAge := maxUpdateAge
-	if f.searchersKnown.Load() && !f.asksAtStart() {
-		maxAge = min(maxUpdateAge, f.storeView.age())
-		candidates = f.firstNewer(ctx, candidates, maxAge)
+	if !f.searchersKnown.Load() || f.asksAtStart() {
+		return f.adoptFirst(ctx, candidates, maxUpdateAge)
 	}
-	lastErr := fmt.Errorf("findSource: %w", errNoNewer)
-	if len(peers) == 0 {
-		lastErr = fmt.Errorf("findSource: %w", errNoPeers)
+	maxAge := min(maxUpdateAge, f.storeView.age())
+	newer, ok := f.firstNewer(ctx, candidates, maxAge)
+	if !ok {
+		return fmt.Errorf("findSource: %w", errNoNewer)
 	}
+	return f.adoptFirst(ctx, hysmember.Instances{newer}, maxAge)
+}
+
+// adoptFirst requests the state of several daemons in turn. The first one whose state is
+// not older than maxAge becomes the source.
+func (f *Front) adoptFirst(ctx context.Context, candidates hysmember.Instances, maxAge time.Duration) error {
+	lastErr := fmt.Errorf("adoptFirst: %w", errNoNewer)
 	for _, i := range candidates {
 		age, err := f.pullFrom(ctx, i, pull{maxAge: maxAge})
 		if err != nil {
-			lastErr = fmt.Errorf("findSource: %w", err)
+			lastErr = fmt.Errorf("adoptFirst: %w", err)
 			f.sources.Reject(i.ID)
 			continue
 		}
@@ -146,26 +154,34 @@
 }
 
 // firstNewer asks several daemons at the same time how old their state is. It returns
-// the first one to answer whose state is younger than maxAge, and rejects the others that
-// have answered, or all if there is none.
-func (f *Front) firstNewer(ctx context.Context, candidates hysmember.Instances, maxAge time.Duration) hysmember.Instances {
+// the first one to answer whose state is younger than maxAge, and rejects those that have
+// answered before it. It returns false if there is none.
+func (f *Front) firstNewer(ctx context.Context, candidates hysmember.Instances, maxAge time.Duration) (hysmember.Instance, bool) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	answers := make(chan ageAnswer, len(candidates))
 	for _, i := range candidates {
-		go func() {
-			reply, err := f.relayClient.Follow(ctx, i.Address, hysrelay.FollowRequest{AgeOnly: true, Era: f.eras.Current()})
-			answers <- ageAnswer{from: i, newer: err == nil && !reply.Revision.IsZero() && reply.Age < maxAge && !f.earlierEra(reply.Revision, false)}
-		}()
+		go func() { answers <- ageAnswer{from: i, newer: f.isYounger(ctx, i, maxAge)} }()
 	}
 	for range candidates {
 		a := <-answers
 		if a.newer {
-			return hysmember.Instances{a.from}
+			return a.from, true
 		}
 		f.sources.Reject(a.from.ID)
 	}
-	return nil
+	return hysmember.Instance{}, false
+}
+
+// isYounger asks a daemon whether its state is younger than maxAge.
+func (f *Front) isYounger(ctx context.Context, i hysmember.Instance, maxAge time.Duration) bool {
+	reply, err := f.relayClient.Follow(ctx, i.Address, hysrelay.FollowRequest{AgeOnly: true, Era: f.eras.Current()})
+	switch {
+	case err != nil, reply.Revision.IsZero(), f.earlierEra(reply.Revision, false):
+		return false
+	default:
+		return reply.Age < maxAge
+	}
 }
 
 // peers returns the other announced daemons that have an address.
