review: show that two daemons hand out a searcher's whole rate limit

Tried: the store turns one of three daemons away for 9 s and takes its key away, while callers press on a searcher that states 40 requests a second.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into target/review.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+go build -o ../target/review/ ./...
--- /dev/null
+++ b/review/standin/store.go
@@ -0,0 +1,366 @@
+// Package standin holds stand-ins for the platform's store, searchers and
+// callers, and starts frontend daemons as processes. They speak what the users'
+// protocol page says, over loopback.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxItems is the number of items in one page of a range.
+const maxItems = 500
+
+// Item is a key with its value.
+type Item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created"`
+	Lease    int64  `json:"lease"`
+}
+
+// event is a change of a key as a watch returns it.
+type event struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store is a stand-in for the platform's store.
+type Store struct {
+	mu        sync.Mutex
+	revision  int64
+	items     map[string]*Item
+	history   []event
+	changed   chan struct{}
+	leases    map[int64]*lease
+	nextLease int64
+	delay     time.Duration
+	refused   map[string]bool
+	onRead    func(machine, path string)
+}
+
+// NewStore returns an empty store whose answers take some time.
+func NewStore(delay time.Duration) *Store {
+	s := &Store{
+		revision: 100, items: make(map[string]*Item), changed: make(chan struct{}),
+		leases: make(map[int64]*lease), nextLease: 7000, delay: delay, refused: make(map[string]bool),
+	}
+	go s.expireLeases()
+	return s
+}
+
+// SetDelay sets how long an answer takes.
+func (s *Store) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// Refuse makes the store answer the calls of a machine with 503, or serve them again.
+func (s *Store) Refuse(machine string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[machine] = refused
+}
+
+// OnCall sets a function that is called with each call of a machine.
+func (s *Store) OnCall(f func(machine, path string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRead = f
+}
+
+// Put writes a key, as the operator or a searcher does.
+func (s *Store) Put(key string, value any) int64 {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.put(key, data, 0)
+	s.notify()
+	return s.revision
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.notify()
+}
+
+// Keys returns the keys under a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// The caller of the following functions holds mu and has raised the revision.
+
+func (s *Store) put(key string, value []byte, leaseID int64) {
+	created := s.revision
+	if known := s.items[key]; known != nil {
+		created = known.Created
+	}
+	i := &Item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: leaseID}
+	s.items[key] = i
+	s.history = append(s.history, event{Key: key, Value: value, Revision: i.Revision, Created: created, Lease: leaseID})
+}
+
+func (s *Store) remove(key string) {
+	if s.items[key] == nil {
+		return
+	}
+	delete(s.items, key)
+	s.history = append(s.history, event{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) expireLeases() {
+	for range time.Tick(50 * time.Millisecond) {
+		s.mu.Lock()
+		for id, l := range s.leases {
+			if time.Now().After(l.expires) {
+				s.endLease(id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Store) endLease(id int64) {
+	delete(s.leases, id)
+	for key, i := range s.items {
+		if i.Lease == id {
+			s.revision++
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
+// Handler serves the calls of one machine.
+func (s *Store) Handler(machine string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-key", s.getKey)
+	mux.HandleFunc("GET /kv-range", s.getRange)
+	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("POST /kv-txn", s.transact)
+	mux.HandleFunc("POST /kv-lease", s.grant)
+	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
+	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "1")
+		s.mu.Lock()
+		refused, delay, onCall := s.refused[machine], s.delay, s.onRead
+		s.mu.Unlock()
+		if onCall != nil {
+			onCall(machine, r.URL.Path+"?"+r.URL.RawQuery)
+		}
+		time.Sleep(delay)
+		if refused {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) getKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.items[r.URL.Query().Get("key")]
+	if i == nil {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, struct {
+		*Item
+		Current int64 `json:"current-rev"`
+	}{i, s.revision})
+}
+
+func (s *Store) getRange(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	prefix, after := q.Get("prefix"), q.Get("after")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items, more := []*Item{}, false
+	for _, i := range s.items {
+		if strings.HasPrefix(i.Key, prefix) && i.Key > after {
+			items = append(items, i)
+		}
+	}
+	slices.SortFunc(items, func(a, b *Item) int { return strings.Compare(a.Key, b.Key) })
+	if len(items) > maxItems {
+		items, more = items[:maxItems], true
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "current-rev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	prefix := q.Get("prefix")
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	defer timer.Stop()
+	for ended := false; ; {
+		s.mu.Lock()
+		events := []event{}
+		for _, e := range s.history {
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				events = append(events, e)
+			}
+		}
+		changed, current := s.changed, s.revision
+		s.mu.Unlock()
+		if len(events) > 0 || ended {
+			answer(w, http.StatusOK, map[string]any{"events": events, "current-rev": current})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			ended = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expected-rev"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range t.Puts {
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			answer(w, http.StatusForbidden, struct{}{})
+			return
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			answer(w, http.StatusNotFound, struct{}{})
+			return
+		}
+	}
+	for _, e := range t.Expected {
+		known := int64(0)
+		if i := s.items[e.Key]; i != nil {
+			known = i.Revision
+		}
+		if known != e.Revision {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []*Item{}})
+			return
+		}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range t.Remove {
+		s.remove(key)
+	}
+	s.notify()
+	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTL < 1000 {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[s.nextLease] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, map[string]any{"lease": s.nextLease, "ttl-ms": body.TTL})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	l.expires = time.Now().Add(l.ttl)
+	answer(w, http.StatusOK, map[string]any{"ttl-ms": l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] != nil {
+		s.endLease(id)
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+// EndLeaseOf takes away the key and its lease at once, as the store may while it turns
+// a machine away.
+func (s *Store) EndLeaseOf(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.items[key]; i != nil {
+		s.endLease(i.Lease)
+	}
+}
