--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -34,16 +34,20 @@
 	runs    []string
 }
 
-// Serve starts a searcher and writes its entry until the case ends.
-func (c *Case) Serve(s *Searcher, store *Store) {
+// Open starts a searcher without writing its entry.
+func (c *Case) Open(s *Searcher) {
 	l := c.Listen(c.Address())
 	s.address, s.born = l.Addr().String(), time.Now().UnixMilli()
 	s.slots = make(chan struct{}, s.Slots)
 	go func() { _ = http.Serve(l, s) }()
+}
+
+// Announce writes the entry of a searcher, with an address, until the case ends.
+func (c *Case) Announce(s *Searcher, store *Store, address string) {
 	go func() {
 		for sequence := 1; ; sequence++ {
 			store.Put("servers/"+s.ID, map[string]any{
-				"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "capacity": s.Slots,
+				"service": s.Service, "address": address, "zone": s.Zone, "version": "v1", "capacity": s.Slots,
 				"state": "ready", "warmup-left-ms": 0, "sequence": sequence, "born": s.born,
 			})
 			time.Sleep(heartbeat)
@@ -51,6 +55,15 @@
 	}()
 }
 
+// Serve starts a searcher and writes its entry until the case ends.
+func (c *Case) Serve(s *Searcher, store *Store) {
+	c.Open(s)
+	c.Announce(s, store, s.address)
+}
+
+// Address returns the searcher's address.
+func (s *Searcher) Address() string { return s.address }
+
 // Runs returns the ids of the requests that have run.
 func (s *Searcher) Runs() []string {
 	s.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -52,6 +52,7 @@
 	delay     time.Duration
 	refused   map[string]bool
 	onRead    func(machine, path string)
+	view      func(machine, key string, value []byte) []byte
 }
 
 // NewStore returns an empty store whose answers take some time.
@@ -85,6 +86,17 @@
 	s.onRead = f
 }
 
+// SetView sets how a machine sees a value. It must be called before the store is served.
+func (s *Store) SetView(view func(machine, key string, value []byte) []byte) { s.view = view }
+
+// viewOf returns a value as a machine sees it.
+func (s *Store) viewOf(machine, key string, value []byte) []byte {
+	if s.view == nil || value == nil {
+		return value
+	}
+	return s.view(machine, key, value)
+}
+
 // Put writes a key, as the operator or a searcher does.
 func (s *Store) Put(key string, value any) int64 {
 	data, err := json.Marshal(value)
@@ -174,8 +186,8 @@
 func (s *Store) Handler(machine string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.getKey)
-	mux.HandleFunc("GET /kv-range", s.getRange)
-	mux.HandleFunc("GET /kv-watch", s.watch)
+	mux.HandleFunc("GET /kv-range", func(w http.ResponseWriter, r *http.Request) { s.getRange(w, r, machine) })
+	mux.HandleFunc("GET /kv-watch", func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, machine) })
 	mux.HandleFunc("POST /kv-txn", s.transact)
 	mux.HandleFunc("POST /kv-lease", s.grant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
@@ -217,7 +229,7 @@
 	}{i, s.revision})
 }
 
-func (s *Store) getRange(w http.ResponseWriter, r *http.Request) {
+func (s *Store) getRange(w http.ResponseWriter, r *http.Request, machine string) {
 	q := r.URL.Query()
 	prefix, after := q.Get("prefix"), q.Get("after")
 	s.mu.Lock()
@@ -225,7 +237,9 @@
 	items, more := []*Item{}, false
 	for _, i := range s.items {
 		if strings.HasPrefix(i.Key, prefix) && i.Key > after {
-			items = append(items, i)
+			seen := *i
+			seen.Value = s.viewOf(machine, i.Key, i.Value)
+			items = append(items, &seen)
 		}
 	}
 	slices.SortFunc(items, func(a, b *Item) int { return strings.Compare(a.Key, b.Key) })
@@ -235,7 +249,7 @@
 	answer(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "current-rev": s.revision})
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, machine string) {
 	q := r.URL.Query()
 	prefix := q.Get("prefix")
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
@@ -247,6 +261,7 @@
 		events := []event{}
 		for _, e := range s.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				e.Value = s.viewOf(machine, e.Key, e.Value)
 				events = append(events, e)
 			}
 		}
