--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -120,6 +121,7 @@
 	c       *Case
 	path    string
 	log     *os.File
+	starts  int
 	cmd     *exec.Cmd
 	ended   chan struct{}
 }
@@ -198,8 +200,11 @@
 	return f
 }
 
-// Start starts the process.
+// Start starts the process. bootstrap is true in the settings of the first start only.
 func (f *Front) Start() {
+	if f.starts++; f.starts == 2 {
+		f.endBootstrap()
+	}
 	f.cmd = exec.Command(f.c.program, "front")
 	f.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HYSSOPSHORE_SETTINGS=" + f.path}
 	f.cmd.Stdout, f.cmd.Stderr = f.log, f.log
@@ -217,6 +222,17 @@
 	}()
 }
 
+// endBootstrap rewrites the settings for all further starts.
+func (f *Front) endBootstrap() {
+	data, err := os.ReadFile(f.path)
+	if err == nil {
+		err = os.WriteFile(f.path, bytes.Replace(data, []byte("bootstrap: true"), []byte("bootstrap: false"), 1), 0o600)
+	}
+	if err != nil {
+		f.c.Fail(err)
+	}
+}
+
 // Signal sends a signal to the process.
 func (f *Front) Signal(s syscall.Signal) {
 	f.c.Record("%s gets %v", f.Name, s)
