review: case 1 by an outage of the store in which leases run out

Tried: the store answers 503 for 3 s and the leases run out, in place of one daemon that is turned away.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,6 @@
-// Command 1 lets the platform's store turn one frontend daemon away and take its keys
-// away, while callers press on a searcher that states a rate limit, and counts what
-// reaches the searcher.
+// Command 1 lets the platform's store be down for seconds in which leases run out, while
+// callers press on a searcher that states a rate limit, and counts what reaches the
+// searcher.
 package main
 
 import (
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,12 +21,11 @@
 	grace      = 6 * time.Second
 	// limit is what the searcher states, in requests per second.
 	limit = 40.0
-	// callersRate is how many requests a second callers send to a daemon, fewCallersRate
-	// to the one that the store turns away. The platform spreads callers by a hash.
-	callersRate    = 100
-	fewCallersRate = 5
-	// rounds is how often the store turns the daemon away.
-	rounds = 2
+	// callersRate is how many requests a second callers send to each daemon.
+	callersRate = 100
+	// rounds is how often the store is down, downTime for how long each time.
+	rounds   = 2
+	downTime = 3 * time.Second
 	// callerDeadline is how long a caller waits.
 	callerDeadline = 1500 * time.Millisecond
 	// stable is stable-ms of the bounds; window, factor and extra are those of the rule.
@@ -37,10 +35,10 @@
 	extra  = 5
 	// learned is how long a daemon must have passed on the limit to be counted.
 	learned = 500 * time.Millisecond
-	// refusedTime is how long the store turns the daemon away.
-	refusedTime = 9 * time.Second
 	// quiet is the time between two disruptions.
-	quiet = 14 * time.Second
+	quiet = 18 * time.Second
+	// warmUp is the time under load before the first disruption, more than stable-ms.
+	warmUp = 9300 * time.Millisecond
 	// restartGap is the time between two planned restarts.
 	restartGap = 500 * time.Millisecond
 )
@@ -77,12 +75,11 @@
 	// firstPassed is when a daemon first passed on an answer with the limit.
 	firstPassed map[string]time.Time
 	counts      map[string]int
-	excused     map[string]time.Time
 }
 
 func main() {
 	c := standin.NewCase()
-	o := &observer{c: c, firstPassed: make(map[string]time.Time), counts: make(map[string]int), excused: make(map[string]time.Time)}
+	o := &observer{c: c, firstPassed: make(map[string]time.Time), counts: make(map[string]int)}
 	store := standin.NewStore(storeDelay)
 	site := standin.Site{
 		Zones:  [][2]string{{"kol-salt", "kolkata"}, {"sil-mati", "siliguri"}, {"pur-ayodhya", "purulia"}},
@@ -115,7 +112,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	c.Record("planned restart of the daemons in turn")
-	for _, f := range fronts {
+	for _, f := range slices.Backward(fronts) {
 		f.Stop(grace)
 		f.Start()
 		f.AwaitReady(5 * time.Second)
@@ -126,49 +123,37 @@
 	for n, f := range fronts {
 		wait.Go(func() { o.press(n, f, stop) })
 	}
-	time.Sleep(stable + 3*time.Second)
+	time.Sleep(warmUp)
 	for range rounds {
-		o.trouble(c, store, fronts[0])
+		trouble(c, store, fronts)
 	}
 	close(stop)
 	wait.Wait()
 	o.judge()
 }
 
-// trouble turns one daemon away for a while, and takes its keys away at once.
-func (o *observer) trouble(c *standin.Case, store *standin.Store, f *standin.Front) {
-	key := ""
-	for _, k := range store.Keys("hyssopshore/instances/") {
-		if strings.HasSuffix(k, f.Name) {
-			key = k
-		}
-	}
-	if key == "" {
-		c.Fail(fmt.Errorf("%s has no key", f.Name))
-	}
+// trouble lets the store answer all calls with 503 for a while. All leases run out meanwhile.
+func trouble(c *standin.Case, store *standin.Store, fronts []*standin.Front) {
 	if c.Trouble {
-		c.Record("the store turns %s away with 503 and takes %s away", f.Name, key)
-		store.Refuse(f.Name, true)
-		store.EndLeaseOf(key)
-		o.mu.Lock()
-		if o.excused[f.Name].IsZero() {
-			o.excused[f.Name] = time.Now()
+		c.Record("the store is down for %v, and leases run out", downTime)
+		for _, f := range fronts {
+			store.Refuse(f.Name, true)
 		}
-		o.mu.Unlock()
+		for _, key := range store.Keys("hyssopshore/") {
+			store.EndLeaseOf(key)
+		}
+	}
+	time.Sleep(downTime)
+	for _, f := range fronts {
+		store.Refuse(f.Name, false)
 	}
-	time.Sleep(refusedTime)
-	store.Refuse(f.Name, false)
-	c.Record("the store serves %s", f.Name)
+	c.Record("the store is up")
 	time.Sleep(quiet)
 }
 
 // press sends requests to one daemon until it is stopped.
 func (o *observer) press(n int, f *standin.Front, stop <-chan struct{}) {
-	rate := callersRate
-	if n == 0 {
-		rate = fewCallersRate
-	}
-	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	ticker := time.NewTicker(time.Second / callersRate)
 	defer ticker.Stop()
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -222,16 +207,10 @@
 	o.c.Record("reaches the searcher: %s", r.Header.Get("X-Request-Id"))
 }
 
-// counted reports whether the rule counts an arrival. A daemon that the store turned away
-// is left out from then on, in its own favour.
+// counted reports whether the rule counts an arrival.
 func (o *observer) counted(a arrival, first time.Time) bool {
-	passed, excused := o.firstPassed[a.daemon], o.excused[a.daemon]
-	switch {
-	case a.at.Before(first.Add(stable)), passed.IsZero(), a.at.Before(passed.Add(learned)):
-		return false
-	default:
-		return excused.IsZero() || a.at.Before(excused)
-	}
+	passed := o.firstPassed[a.daemon]
+	return !a.at.Before(first.Add(stable)) && !passed.IsZero() && !a.at.Before(passed.Add(learned))
 }
 
 func (o *observer) judge() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -370,8 +370,7 @@
 	answer(w, http.StatusOK, struct{}{})
 }
 
-// EndLeaseOf takes away the key and its lease at once, as the store may while it turns
-// a machine away.
+// EndLeaseOf ends the lease of a key, as if it had run out.
 func (s *Store) EndLeaseOf(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
