--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,6 +1,6 @@
-// Command 1 lets the platform's store be down for seconds in which leases run out, while
-// callers press on a searcher that states a rate limit, and counts what reaches the
-// searcher.
+// Command 1 lets the platform's store lose the answer to one write of a frontend daemon that
+// starts, and do that write late, while callers press on a searcher that states a rate
+// limit, and counts what reaches the searcher.
 package main
 
 import (
@@ -23,9 +23,6 @@
 	limit = 40.0
 	// callersRate is how many requests a second callers send to each daemon.
 	callersRate = 100
-	// rounds is how often the store is down, downTime for how long each time.
-	rounds   = 2
-	downTime = 3 * time.Second
 	// callerDeadline is how long a caller waits.
 	callerDeadline = 1500 * time.Millisecond
 	// stable is stable-ms of the bounds; window, factor and extra are those of the rule.
@@ -35,12 +32,13 @@
 	extra  = 5
 	// learned is how long a daemon must have passed on the limit to be counted.
 	learned = 500 * time.Millisecond
-	// quiet is the time between two disruptions.
-	quiet = 18 * time.Second
-	// warmUp is the time under load before the first disruption, more than stable-ms.
-	warmUp = 9300 * time.Millisecond
-	// restartGap is the time between two planned restarts.
-	restartGap = 500 * time.Millisecond
+	// lateTime is how much later the write is done.
+	lateTime = 5900 * time.Millisecond
+	// shortGap and longGap are the times between the planned restarts.
+	shortGap = 500 * time.Millisecond
+	longGap  = 3500 * time.Millisecond
+	// pressTime is how long callers send.
+	pressTime = 48 * time.Second
 )
 
 const bounds = `  seed-lag-s: 3
@@ -112,45 +110,28 @@
 	}
 	time.Sleep(2 * time.Second)
 	c.Record("planned restart of the daemons in turn")
-	for _, f := range slices.Backward(fronts) {
+	gaps := []time.Duration{0, longGap, shortGap}
+	for n, f := range slices.Backward(fronts) {
 		f.Stop(grace)
+		if c.Trouble && n == 0 {
+			c.Record("the store loses the next write of %s and does it %v later", f.Name, lateTime)
+			store.LoseNextWrite(f.Name, lateTime)
+		}
 		f.Start()
 		f.AwaitReady(5 * time.Second)
-		time.Sleep(restartGap)
+		time.Sleep(gaps[n])
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	for n, f := range fronts {
 		wait.Go(func() { o.press(n, f, stop) })
 	}
-	time.Sleep(warmUp)
-	for range rounds {
-		trouble(c, store, fronts)
-	}
+	time.Sleep(pressTime)
 	close(stop)
 	wait.Wait()
 	o.judge()
 }
 
-// trouble lets the store answer all calls with 503 for a while. All leases run out meanwhile.
-func trouble(c *standin.Case, store *standin.Store, fronts []*standin.Front) {
-	if c.Trouble {
-		c.Record("the store is down for %v, and leases run out", downTime)
-		for _, f := range fronts {
-			store.Refuse(f.Name, true)
-		}
-		for _, key := range store.Keys("hyssopshore/") {
-			store.EndLeaseOf(key)
-		}
-	}
-	time.Sleep(downTime)
-	for _, f := range fronts {
-		store.Refuse(f.Name, false)
-	}
-	c.Record("the store is up")
-	time.Sleep(quiet)
-}
-
 // press sends requests to one daemon until it is stopped.
 func (o *observer) press(n int, f *standin.Front, stop <-chan struct{}) {
 	ticker := time.NewTicker(time.Second / callersRate)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -53,6 +53,8 @@
 	refused   map[string]bool
 	onRead    func(machine, path string)
 	view      func(machine, key string, value []byte) []byte
+	// late holds how much later the next write of a machine is done, without an answer.
+	late map[string]time.Duration
 }
 
 // NewStore returns an empty store whose answers take some time.
@@ -60,6 +62,7 @@
 	s := &Store{
 		revision: 100, items: make(map[string]*Item), changed: make(chan struct{}),
 		leases: make(map[int64]*lease), nextLease: 7000, delay: delay, refused: make(map[string]bool),
+		late: make(map[string]time.Duration),
 	}
 	go s.expireLeases()
 	return s
@@ -79,6 +82,14 @@
 	s.refused[machine] = refused
 }
 
+// LoseNextWrite makes the store do the next conditional write of a machine only after a
+// delay, and give no answer to it.
+func (s *Store) LoseNextWrite(machine string, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late[machine] = delay
+}
+
 // OnCall sets a function that is called with each call of a machine.
 func (s *Store) OnCall(f func(machine, path string)) {
 	s.mu.Lock()
@@ -188,7 +199,7 @@
 	mux.HandleFunc("GET /kv-key", s.getKey)
 	mux.HandleFunc("GET /kv-range", func(w http.ResponseWriter, r *http.Request) { s.getRange(w, r, machine) })
 	mux.HandleFunc("GET /kv-watch", func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, machine) })
-	mux.HandleFunc("POST /kv-txn", s.transact)
+	mux.HandleFunc("POST /kv-txn", func(w http.ResponseWriter, r *http.Request) { s.transact(w, r, machine) })
 	mux.HandleFunc("POST /kv-lease", s.grant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
@@ -281,33 +292,49 @@
 	}
 }
 
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Expected []struct {
-			Key      string `json:"key"`
-			Revision int64  `json:"revision"`
-		} `json:"expected-rev"`
-		Puts []struct {
-			Key   string `json:"key"`
-			Value []byte `json:"value"`
-			Lease int64  `json:"lease"`
-		} `json:"puts"`
-		Remove []string `json:"remove"`
-	}
+// transaction is the body of a conditional write.
+type transaction struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected-rev"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"puts"`
+	Remove []string `json:"remove"`
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request, machine string) {
+	var t transaction
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		answer(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	s.mu.Lock()
+	delay, lost := s.late[machine]
+	delete(s.late, machine)
+	s.mu.Unlock()
+	if lost {
+		time.AfterFunc(delay, func() { _, _ = s.apply(t) })
+		<-r.Context().Done()
+		return
+	}
+	status, body := s.apply(t)
+	answer(w, status, body)
+}
+
+// apply does a conditional write and returns the answer.
+func (s *Store) apply(t transaction) (status int, body any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range t.Puts {
 		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
-			answer(w, http.StatusForbidden, struct{}{})
-			return
+			return http.StatusForbidden, struct{}{}
 		}
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
-			answer(w, http.StatusNotFound, struct{}{})
-			return
+			return http.StatusNotFound, struct{}{}
 		}
 	}
 	for _, e := range t.Expected {
@@ -316,8 +343,7 @@
 			known = i.Revision
 		}
 		if known != e.Revision {
-			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []*Item{}})
-			return
+			return http.StatusPreconditionFailed, map[string]any{"items": []*Item{}}
 		}
 	}
 	s.revision++
@@ -328,7 +354,7 @@
 		s.remove(key)
 	}
 	s.notify()
-	answer(w, http.StatusOK, map[string]any{"revision": s.revision})
+	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
@@ -369,12 +395,3 @@
 	}
 	answer(w, http.StatusOK, struct{}{})
 }
-
-// EndLeaseOf ends the lease of a key, as if it had run out.
-func (s *Store) EndLeaseOf(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if i := s.items[key]; i != nil {
-		s.endLease(i.Lease)
-	}
-}
