--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,15 +1,18 @@
-// Command 1 lets the platform's store lose the answer to one write of a frontend daemon that
-// starts, and do that write late, while callers press on a searcher that states a rate
-// limit, and counts what reaches the searcher.
+// Command 1 stops and starts frontend daemons in turn, as planned work, while callers send
+// more than the searchers of a service can run, and looks for requests that a daemon has
+// read and that end without an answer.
 package main
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"slices"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,27 +21,28 @@
 
 const (
 	storeDelay = 4 * time.Millisecond
-	grace      = 6 * time.Second
-	// limit is what the searcher states, in requests per second.
-	limit = 40.0
-	// callersRate is how many requests a second callers send to each daemon.
-	callersRate = 100
+	// grace is grace-s; a request that its searcher still runs in the last sixth of it is
+	// not counted if it was sent within lateSend after the SIGTERM.
+	grace    = 6 * time.Second
+	lateSend = 3 * time.Second
+	// lossSlack is loss-slack-ms.
+	lossSlack = 200 * time.Millisecond
+	// restartGap is the time between two restarts, restartDelay that until a process that
+	// has ended is started again.
+	restartGap   = 2 * time.Second
+	restartDelay = 500 * time.Millisecond
+	// warmUp is the time before the first restart, more than stable-ms.
+	warmUp = 12 * time.Second
+	// searchers run slots requests each at the same time, each for work.
+	searchers = 2
+	slots     = 2
+	work      = 300 * time.Millisecond
+	// callersRate is how many requests callers send in a second, without their retries. The
+	// searchers run 13 in a second.
+	callersRate = 30
 	// callerDeadline is how long a caller waits.
-	callerDeadline = 1500 * time.Millisecond
-	// stable is stable-ms of the bounds; window, factor and extra are those of the rule.
-	stable = 5 * time.Second
-	window = 4 * time.Second
-	factor = 1.5
-	extra  = 5
-	// learned is how long a daemon must have passed on the limit to be counted.
-	learned = 500 * time.Millisecond
-	// lateTime is how much later the write is done.
-	lateTime = 5900 * time.Millisecond
-	// shortGap and longGap are the times between the planned restarts.
-	shortGap = 500 * time.Millisecond
-	longGap  = 3500 * time.Millisecond
-	// pressTime is how long callers send.
-	pressTime = 48 * time.Second
+	callerDeadline = 6 * time.Second
+	bodyBytes      = 300
 )
 
 const bounds = `  seed-lag-s: 3
@@ -58,46 +62,50 @@
   recovery-s: 12
 `
 
-// arrival is a request that has reached the searcher.
-type arrival struct {
-	at     time.Time
-	daemon string
-}
-
-// observer records what reaches the searcher and what callers get.
+// observer records what callers send and get, and what searchers run.
 type observer struct {
-	c *standin.Case
+	c   *standin.Case
+	vip *standin.VIP
 
-	mu       sync.Mutex
-	arrivals []arrival
-	// firstPassed is when a daemon first passed on an answer with the limit.
-	firstPassed map[string]time.Time
-	counts      map[string]int
+	mu sync.Mutex
+	// stopped is when a daemon last got SIGTERM.
+	stopped map[string]time.Time
+	counts  map[string]int
+	// cut are the requests whose connections ended without an answer.
+	cut []cutRequest
+	// reached holds the requests that have reached a searcher.
+	reached map[string]bool
+}
+
+// cutRequest is a request whose connection ended without an answer.
+type cutRequest struct {
+	id       string
+	daemon   string
+	sent     time.Time
+	ended    time.Time
+	deadline time.Time
 }
 
 func main() {
 	c := standin.NewCase()
-	o := &observer{c: c, firstPassed: make(map[string]time.Time), counts: make(map[string]int)}
+	o := &observer{c: c, stopped: make(map[string]time.Time), counts: make(map[string]int), reached: make(map[string]bool)}
 	store := standin.NewStore(storeDelay)
-	site := standin.Site{
-		Zones:  [][2]string{{"kol-salt", "kolkata"}, {"sil-mati", "siliguri"}, {"pur-ayodhya", "purulia"}},
-		Bounds: bounds, Bootstrap: true,
-	}
+	site := standin.Site{Zones: [][2]string{{"kol-salt", "kolkata"}}, Bounds: bounds, Bootstrap: true}
 	var fronts []*standin.Front
-	for _, z := range site.Zones {
-		name := "frontend-" + z[0] + "-1"
-		fronts = append(fronts, c.NewFront(name, z[0], site, c.ServeStore(store, name)))
+	for n := range 3 {
+		name := fmt.Sprintf("frontend-kol-salt-%d", n+1)
+		fronts = append(fronts, c.NewFront(name, "kol-salt", site, c.ServeStore(store, name)))
 	}
-	searcher := &standin.Searcher{
-		ID: "i-7f3a91c2", Service: "form-vault", Zone: "kol-salt", Slots: 3, Work: 5 * time.Millisecond,
-		Limit: func() string { return fmt.Sprint(limit) }, OnArrival: o.arrived,
+	for n := range searchers {
+		c.Serve(&standin.Searcher{
+			ID: fmt.Sprintf("i-7f3a91c%d", n), Service: "form-vault", Zone: "kol-salt", Slots: slots, Work: work, OnArrival: o.arrived,
+		}, store)
 	}
-	c.Serve(searcher, store)
 	store.Put("op/config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "r-form", "host": "forms.example", "prefix": "/form/", "type": "idempotent", "service": "form-vault",
-			"timeout-ms": 1500, "slo-ms": 400, "priority": 1, "max-attempts": 2,
+			"name": "r-form", "host": "forms.example", "prefix": "/form/", "type": "non_idempotent", "service": "form-vault",
+			"timeout-ms": callerDeadline.Milliseconds(), "slo-ms": 400, "priority": 2, "max-attempts": 2,
 		}},
 		"services": []any{map[string]any{"name": "form-vault", "health-path": "/healthz", "max-conns": 38, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
@@ -108,32 +116,33 @@
 	for _, f := range fronts {
 		f.AwaitReady(5 * time.Second)
 	}
-	time.Sleep(2 * time.Second)
-	c.Record("planned restart of the daemons in turn")
-	gaps := []time.Duration{0, longGap, shortGap}
-	for n, f := range slices.Backward(fronts) {
-		f.Stop(grace)
-		if c.Trouble && n == 0 {
-			c.Record("the store loses the next write of %s and does it %v later", f.Name, lateTime)
-			store.LoseNextWrite(f.Name, lateTime)
+	o.vip = standin.NewVIP(fronts)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Go(func() { o.press(stop) })
+	time.Sleep(warmUp)
+	for _, f := range fronts {
+		if !c.Trouble {
+			time.Sleep(grace)
+			continue
 		}
+		o.mu.Lock()
+		o.stopped[f.Name] = time.Now()
+		o.mu.Unlock()
+		f.Stop(grace)
+		time.Sleep(restartDelay)
 		f.Start()
 		f.AwaitReady(5 * time.Second)
-		time.Sleep(gaps[n])
+		time.Sleep(restartGap)
 	}
-	stop := make(chan struct{})
-	var wait sync.WaitGroup
-	for n, f := range fronts {
-		wait.Go(func() { o.press(n, f, stop) })
-	}
-	time.Sleep(pressTime)
+	time.Sleep(grace)
 	close(stop)
 	wait.Wait()
 	o.judge()
 }
 
-// press sends requests to one daemon until it is stopped.
-func (o *observer) press(n int, f *standin.Front, stop <-chan struct{}) {
+// press sends requests until it is stopped.
+func (o *observer) press(stop <-chan struct{}) {
 	ticker := time.NewTicker(time.Second / callersRate)
 	defer ticker.Stop()
 	var wait sync.WaitGroup
@@ -144,89 +153,97 @@
 			return
 		case <-ticker.C:
 		}
-		id := fmt.Sprintf("%d-%014x", n, count)
-		wait.Go(func() {
-			status := o.ask(f, id)
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			o.counts[f.Name+": "+status]++
-		})
+		wait.Go(func() { o.call(count) })
+	}
+}
+
+// call sends one request, and once more after a refusal, as the pages say of callers.
+func (o *observer) call(count int) {
+	deadline := time.Now().Add(callerDeadline)
+	for attempt := range 2 {
+		id := fmt.Sprintf("%d%015x", attempt, count)
+		status, retryAfter := o.ask(id, time.Until(deadline))
+		o.mu.Lock()
+		o.counts[status]++
+		o.mu.Unlock()
+		if status != "503" || retryAfter > time.Until(deadline)/3 {
+			return
+		}
+		time.Sleep(retryAfter)
 	}
 }
 
-func (o *observer) ask(f *standin.Front, id string) string {
+// ask sends one attempt on a new connection.
+func (o *observer) ask(id string, left time.Duration) (status string, retryAfter time.Duration) {
+	f := o.vip.Pick()
 	conn, err := net.DialTimeout("tcp", f.Callers, time.Second)
 	if err != nil {
-		return "not connected"
+		return "not connected", 0
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(callerDeadline))
-	fmt.Fprintf(conn, "GET /form/%s HTTP/1.1\r\nHost: forms.example\r\nX-Request-Id: %s\r\nX-Daemon: %s\r\nX-Deadline-Ms: %d\r\n\r\n", id, id, f.Name, callerDeadline.Milliseconds())
+	_ = conn.SetDeadline(time.Now().Add(left))
+	fmt.Fprintf(conn, "POST /form/%s HTTP/1.1\r\nHost: forms.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		id, id, left.Milliseconds(), bodyBytes, strings.Repeat("w", bodyBytes))
+	sent := time.Now()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return "no answer"
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return "no answer until the deadline", 0
 	}
-	if _, err := io.ReadAll(response.Body); err != nil {
-		return "broken answer"
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
 	}
-	if response.Header.Get("Server-Limit") != "" {
-		o.mu.Lock()
-		if o.firstPassed[f.Name].IsZero() {
-			o.firstPassed[f.Name] = time.Now()
-		}
-		o.mu.Unlock()
+	if err != nil {
+		o.recordCut(cutRequest{id: id, daemon: f.Name, sent: sent, ended: time.Now(), deadline: sent.Add(left)}, err)
+		return "connection ended without an answer", 0
 	}
-	return fmt.Sprint(response.StatusCode)
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return fmt.Sprint(response.StatusCode), time.Duration(seconds * float64(time.Second))
 }
 
-// arrived records a request that reaches the searcher. X-Daemon names the daemon to which
-// the caller has sent it.
+func (o *observer) recordCut(cut cutRequest, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cut = append(o.cut, cut)
+	o.c.Record("request %s to %s: the connection ended without an answer %d ms after it was sent: %v", cut.id, cut.daemon, cut.ended.Sub(cut.sent).Milliseconds(), err)
+}
+
+// arrived records a request that reaches a searcher.
 func (o *observer) arrived(_ *standin.Searcher, r *http.Request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.arrivals = append(o.arrivals, arrival{at: time.Now(), daemon: r.Header.Get("X-Daemon")})
-	o.c.Record("reaches the searcher: %s", r.Header.Get("X-Request-Id"))
+	o.reached[r.Header.Get("X-Request-Id")] = true
 }
 
-// counted reports whether the rule counts an arrival.
-func (o *observer) counted(a arrival, first time.Time) bool {
-	passed := o.firstPassed[a.daemon]
-	return !a.at.Before(first.Add(stable)) && !passed.IsZero() && !a.at.Before(passed.Add(learned))
+// counted reports whether the rule counts a cut request: it was read, since the daemon
+// held it for longer than loss-slack-ms, it belongs to a SIGTERM of its daemon, and no
+// searcher was ever at work on it.
+func (o *observer) counted(cut cutRequest) bool {
+	stopped := o.stopped[cut.daemon]
+	return !stopped.IsZero() && cut.ended.After(stopped) && cut.ended.Before(stopped.Add(grace+time.Second)) &&
+		cut.sent.Before(stopped.Add(lateSend)) && cut.ended.Sub(cut.sent) > lossSlack &&
+		cut.ended.Before(cut.deadline) && !o.reached[cut.id]
 }
 
 func (o *observer) judge() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var counted []arrival
-	for _, a := range o.arrivals {
-		if o.counted(a, o.arrivals[0].at) {
-			counted = append(counted, a)
-		}
-	}
-	slices.SortFunc(counted, func(a, b arrival) int { return a.at.Compare(b.at) })
-	worst, begins, from := 0, time.Time{}, 0
-	for to := range counted {
-		for counted[to].at.Sub(counted[from].at) >= window {
-			from++
-		}
-		if to-from+1 > worst {
-			worst, begins = to-from+1, counted[from].at
-		}
-	}
-	byDaemon := make(map[string]int)
-	for _, a := range counted {
-		if d := a.at.Sub(begins); d >= 0 && d < window {
-			byDaemon[a.daemon]++
+	lost := make(map[string]int)
+	total := 0
+	for _, cut := range o.cut {
+		if o.counted(cut) {
+			total++
+			lost[cut.daemon]++
+			o.c.Record("lost: %s, sent to %s at %.3f, %.3f s after its SIGTERM, ended at %.3f", cut.id, cut.daemon,
+				o.c.Since(cut.sent), cut.sent.Sub(o.stopped[cut.daemon]).Seconds(), o.c.Since(cut.ended))
 		}
 	}
-	allowed := factor*limit*window.Seconds() + extra
 	for status, count := range o.counts {
 		o.c.Record("%s: %d", status, count)
 	}
-	o.c.Record("the most within %v: %d, by daemon %v; the rule allows %.0f; the window begins at %.3f", window, worst, byDaemon, allowed, o.c.Since(begins))
-	fmt.Printf("the most within %v: %d %v, allowed %.0f\n", window, worst, byDaemon, allowed)
-	if float64(worst) > allowed {
-		o.c.Record("LIMIT is broken")
+	o.c.Record("requests lost around a SIGTERM, which no searcher had got: %d, by daemon %v", total, lost)
+	fmt.Printf("lost around a SIGTERM: %d %v\n", total, lost)
+	if total > 0 {
+		o.c.Record("LOST is broken")
 		o.c.End(standin.ExitBroken)
 	}
 	o.c.End(standin.ExitHeld)
