--- a/review/1/main.go
+++ b/review/1/main.go
@@ -185,6 +185,8 @@
 	fmt.Fprintf(conn, "POST /form/%s HTTP/1.1\r\nHost: forms.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		id, id, left.Milliseconds(), bodyBytes, strings.Repeat("w", bodyBytes))
 	sent := time.Now()
+	o.c.Record("request %s sent to %s, deadline %d ms", id, f.Name, left.Milliseconds())
+	defer func() { o.c.Record("request %s ended: %s", id, status) }()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return "no answer until the deadline", 0
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -154,7 +154,9 @@
 	}
 }
 
-func (o *observer) ask(f *standin.Front, id string) string {
+func (o *observer) ask(f *standin.Front, id string) (status string) {
+	o.c.Record("request %s sent to %s", id, f.Name)
+	defer func() { o.c.Record("request %s ended: %s", id, status) }()
 	conn, err := net.DialTimeout("tcp", f.Callers, time.Second)
 	if err != nil {
 		return "not connected"
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -25,6 +25,7 @@
 	// Limit returns the value of Server-Limit, "" for none; it may be nil.
 	Limit func() string
 
+	c       *Case
 	address string
 	born    int64
 	slots   chan struct{}
@@ -37,7 +38,7 @@
 // Open starts a searcher without writing its entry.
 func (c *Case) Open(s *Searcher) {
 	l := c.Listen(c.Address())
-	s.address, s.born = l.Addr().String(), time.Now().UnixMilli()
+	s.c, s.address, s.born = c, l.Addr().String(), time.Now().UnixMilli()
 	s.slots = make(chan struct{}, s.Slots)
 	go func() { _ = http.Serve(l, s) }()
 }
@@ -111,6 +112,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, id)
 	s.mu.Unlock()
+	s.c.Record("%s runs %s", s.ID, id)
 	select {
 	case <-time.After(s.Work):
 	case <-r.Context().Done():
