--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -263,9 +262,6 @@
 	<-f.ended
 }
 
-// LogPath returns the path of the process's log.
-func (f *Front) LogPath() string { return f.log.Name() }
-
 // IsReady asks the daemon whether it is ready.
 func (f *Front) IsReady() bool {
 	client := &http.Client{Timeout: time.Second}
@@ -297,18 +293,3 @@
 
 // Since returns the seconds from the start of the case to a time.
 func (c *Case) Since(t time.Time) float64 { return t.Sub(c.started).Seconds() }
-
-// Memory returns the resident memory of the process and its peak, as the kernel shows them.
-func (f *Front) Memory() string {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.cmd.Process.Pid))
-	if err != nil {
-		return err.Error()
-	}
-	lines := ""
-	for line := range strings.SplitSeq(string(data), "\n") {
-		if strings.HasPrefix(line, "VmHWM") || strings.HasPrefix(line, "VmRSS") {
-			lines += line + " "
-		}
-	}
-	return lines
-}
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,8 +30,6 @@
 	slots   chan struct{}
 	queued  atomic.Int64
 	stamps  atomic.Int64
-	mu      sync.Mutex
-	runs    []string
 }
 
 // Open starts a searcher without writing its entry.
@@ -65,13 +62,6 @@
 // Address returns the searcher's address.
 func (s *Searcher) Address() string { return s.address }
 
-// Runs returns the ids of the requests that have run.
-func (s *Searcher) Runs() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string{}, s.runs...)
-}
-
 // maxQueued is how many requests wait for a slot.
 const maxQueued = 12
 
@@ -109,9 +99,6 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	s.mu.Lock()
-	s.runs = append(s.runs, id)
-	s.mu.Unlock()
 	s.c.Record("%s runs %s", s.ID, id)
 	select {
 	case <-time.After(s.Work):
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -50,8 +50,6 @@
 	leases    map[int64]*lease
 	nextLease int64
 	delay     time.Duration
-	refused   map[string]bool
-	onRead    func(machine, path string)
 	view      func(machine, key string, value []byte) []byte
 	// late holds how much later the next write of a machine is done, without an answer.
 	late map[string]time.Duration
@@ -61,27 +59,13 @@
 func NewStore(delay time.Duration) *Store {
 	s := &Store{
 		revision: 100, items: make(map[string]*Item), changed: make(chan struct{}),
-		leases: make(map[int64]*lease), nextLease: 7000, delay: delay, refused: make(map[string]bool),
+		leases: make(map[int64]*lease), nextLease: 7000, delay: delay,
 		late: make(map[string]time.Duration),
 	}
 	go s.expireLeases()
 	return s
 }
 
-// SetDelay sets how long an answer takes.
-func (s *Store) SetDelay(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delay = d
-}
-
-// Refuse makes the store answer the calls of a machine with 503, or serve them again.
-func (s *Store) Refuse(machine string, refused bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused[machine] = refused
-}
-
 // LoseNextWrite makes the store do the next conditional write of a machine only after a
 // delay, and give no answer to it.
 func (s *Store) LoseNextWrite(machine string, delay time.Duration) {
@@ -90,13 +74,6 @@
 	s.late[machine] = delay
 }
 
-// OnCall sets a function that is called with each call of a machine.
-func (s *Store) OnCall(f func(machine, path string)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.onRead = f
-}
-
 // SetView sets how a machine sees a value. It must be called before the store is served.
 func (s *Store) SetView(view func(machine, key string, value []byte) []byte) { s.view = view }
 
@@ -122,29 +99,6 @@
 	return s.revision
 }
 
-// Remove removes a key.
-func (s *Store) Remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.remove(key)
-	s.notify()
-}
-
-// Keys returns the keys under a prefix.
-func (s *Store) Keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // The caller of the following functions holds mu and has raised the revision.
 
 func (s *Store) put(key string, value []byte, leaseID int64) {
@@ -205,17 +159,7 @@
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Store-Era", "1")
-		s.mu.Lock()
-		refused, delay, onCall := s.refused[machine], s.delay, s.onRead
-		s.mu.Unlock()
-		if onCall != nil {
-			onCall(machine, r.URL.Path+"?"+r.URL.RawQuery)
-		}
-		time.Sleep(delay)
-		if refused {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
+		time.Sleep(s.delay)
 		mux.ServeHTTP(w, r)
 	})
 }
