--- a/review/2/main.go
+++ b/review/2/main.go
@@ -34,9 +34,8 @@
 	learned = 500 * time.Millisecond
 	// lateTime is how much later the write is done.
 	lateTime = 5900 * time.Millisecond
-	// shortGap and longGap are the times between the planned restarts.
-	shortGap = 500 * time.Millisecond
-	longGap  = 3500 * time.Millisecond
+	// restartGap is the time between the planned restarts, the least gap_s of the site.
+	restartGap = time.Second
 	// pressTime is how long callers send.
 	pressTime = 48 * time.Second
 )
@@ -110,22 +109,26 @@
 	}
 	time.Sleep(2 * time.Second)
 	c.Record("planned restart of the daemons in turn")
-	gaps := []time.Duration{0, longGap, shortGap}
+	var lossEnd func() (writes, lost int)
 	for n, f := range slices.Backward(fronts) {
 		f.Stop(grace)
-		if c.Trouble && n == 0 {
-			c.Record("the store loses the next write of %s and does it %v later", f.Name, lateTime)
-			store.LoseNextWrite(f.Name, lateTime)
+		if c.Trouble && n == 1 {
+			last := fronts[0].Name
+			c.Record("the store loses the next write of %s and does it %v later", last, lateTime)
+			lossEnd = store.BeginLoss(last, lateTime)
 		}
 		f.Start()
 		f.AwaitReady(5 * time.Second)
-		time.Sleep(gaps[n])
+		time.Sleep(restartGap)
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	for n, f := range fronts {
 		wait.Go(func() { o.press(n, f, stop) })
 	}
+	if lossEnd != nil {
+		c.CheckLoss(lossEnd)
+	}
 	time.Sleep(pressTime)
 	close(stop)
 	wait.Wait()
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -293,3 +293,16 @@
 
 // Since returns the seconds from the start of the case to a time.
 func (c *Case) Since(t time.Time) float64 { return t.Sub(c.started).Seconds() }
+
+// maxLossShare is the largest share of the writes that may be lost in an impairment.
+const maxLossShare = 0.35
+
+// CheckLoss ends a case that can't run because more writes were lost than the pages allow,
+// or none.
+func (c *Case) CheckLoss(end func() (writes, lost int)) {
+	writes, lost := end()
+	c.Record("platform_lost: %d of %d writes within %v were lost", lost, writes, lossTime)
+	if lost == 0 || float64(lost) > maxLossShare*float64(writes) {
+		c.Fail(fmt.Errorf("%d of %d writes were lost", lost, writes))
+	}
+}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -51,8 +51,23 @@
 	nextLease int64
 	delay     time.Duration
 	view      func(machine, key string, value []byte) []byte
-	// late holds how much later the next write of a machine is done, without an answer.
-	late map[string]time.Duration
+	loss      loss
+}
+
+// lossTime is how long the answers of writes are lost in one impairment.
+const lossTime = 4500 * time.Millisecond
+
+// loss is an impairment in which one write gets no answer and is done late.
+type loss struct {
+	machine string
+	delay   time.Duration
+	until   time.Time
+	// pending is set until the write was lost.
+	pending bool
+	// writes counts the writes of all machines in the impairment, lost those without an
+	// answer.
+	writes int
+	lost   int
 }
 
 // NewStore returns an empty store whose answers take some time.
@@ -60,18 +75,47 @@
 	s := &Store{
 		revision: 100, items: make(map[string]*Item), changed: make(chan struct{}),
 		leases: make(map[int64]*lease), nextLease: 7000, delay: delay,
-		late: make(map[string]time.Duration),
 	}
 	go s.expireLeases()
 	return s
 }
 
-// LoseNextWrite makes the store do the next conditional write of a machine only after a
-// delay, and give no answer to it.
-func (s *Store) LoseNextWrite(machine string, delay time.Duration) {
+// BeginLoss begins an impairment of lossTime, in which the next conditional write of a
+// machine gets no answer and is done after a delay. The function that it returns awaits the
+// end and returns the number of writes and of lost ones.
+func (s *Store) BeginLoss(machine string, delay time.Duration) func() (writes, lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.late[machine] = delay
+	until := time.Now().Add(lossTime)
+	s.loss = loss{machine: machine, delay: delay, until: until, pending: true}
+	var ended loss
+	done := make(chan struct{})
+	time.AfterFunc(lossTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		ended, s.loss = s.loss, loss{}
+		close(done)
+	})
+	return func() (int, int) {
+		<-done
+		return ended.writes, ended.lost
+	}
+}
+
+// countWrite counts a write, and reports whether it is to be lost.
+func (s *Store) countWrite(machine string, conditional bool) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.loss.until) {
+		return 0, false
+	}
+	s.loss.writes++
+	if !conditional || !s.loss.pending || s.loss.machine != machine {
+		return 0, false
+	}
+	s.loss.pending = false
+	s.loss.lost++
+	return s.loss.delay, true
 }
 
 // SetView sets how a machine sees a value. It must be called before the store is served.
@@ -256,11 +300,7 @@
 		answer(w, http.StatusBadRequest, struct{}{})
 		return
 	}
-	s.mu.Lock()
-	delay, lost := s.late[machine]
-	delete(s.late, machine)
-	s.mu.Unlock()
-	if lost {
+	if delay, lost := s.countWrite(machine, true); lost {
 		time.AfterFunc(delay, func() { _, _ = s.apply(t) })
 		<-r.Context().Done()
 		return
@@ -309,6 +349,7 @@
 		answer(w, http.StatusBadRequest, struct{}{})
 		return
 	}
+	s.countWrite("", false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextLease++
