--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -109,6 +109,9 @@
 		return c.refuse(s, now, 0, "no searcher of the shard may be sent to for now", backoff), true
 	}
 	wait := s.expectedWait(now, c.item(s, nil))
+	if c.dispatcher.stop.before(now.Add(wait)) {
+		return stoppingReply(c.sub, s.queueState(now, wait)), true
+	}
 	if now.Add(wait+s.meanTime).After(c.sub.Deadline) || s.limited() && wait > c.sub.usefulTime(now) {
 		return c.refuse(s, now, wait, "the queue is longer than the deadline", max(wait, minRetryAfter)), true
 	}
--- a/core/hysdispatch/admit.go
+++ b/core/hysdispatch/admit.go
@@ -73,6 +73,9 @@
 	if expected.backoff > first.usefulTime(now) {
 		return d.refuseQuery(subs, expected, "too few shards have a searcher that may be sent to now", expected.backoff), false
 	}
+	if d.stop.before(now.Add(expected.wait)) {
+		return stoppingReply(*first, expected.queue), false
+	}
 	fraction := first.admittedFraction(now, expected.wait, expected.meanTime)
 	if first.admissionRank() > fraction {
 		return d.refuseQuery(subs, expected, "the shards' queues are too long", first.retryAfter(now, expected.wait, fraction)), false
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysqueue"
@@ -62,12 +64,18 @@
 // await waits for sends to end, starts hedges and retries, and returns the final
 // reply. It returns true instead if the searchers of the service were lost meanwhile.
 func (c *call) await(ctx, sendCtx context.Context, hedge *time.Timer) (SubReply, bool) {
+	stopping := c.dispatcher.stop.reached
 	for c.running > 0 {
 		select {
 		case <-ctx.Done():
-			return c.timeoutReply(), false
+			return c.timeoutReply(ctx), false
 		case <-c.lost:
 			return SubReply{}, true
+		case <-stopping:
+			stopping = nil
+			if reply, done := c.stopReply(); done {
+				return reply, false
+			}
 		case <-hedge.C:
 			hedge.Reset(c.checkHedge(sendCtx))
 		case o := <-c.results:
@@ -77,7 +85,7 @@
 			}
 		}
 	}
-	return c.failureReply(), false
+	return c.failureReply(ctx), false
 }
 
 // enqueue queues the first send.
@@ -177,7 +185,7 @@
 // exhausted reports whether no further send is allowed.
 func (c *call) exhausted() bool {
 	runs := c.sub.maxRuns()
-	return len(c.sends)-c.notRun >= runs || len(c.sends) >= runs+maxNotRun
+	return c.dispatcher.stop.isReached() || len(c.sends)-c.notRun >= runs || len(c.sends) >= runs+maxNotRun
 }
 
 // retry sends again if no other send is running. A non-idempotent sub-request is sent
@@ -203,7 +211,7 @@
 }
 
 // failureReply returns the final reply once the last send has failed.
-func (c *call) failureReply() SubReply {
+func (c *call) failureReply(ctx context.Context) SubReply {
 	switch c.lastResult.Fault {
 	case FaultShed:
 		c.lastResult.RetryAfter = max(c.shardBackoff(), minRetryAfter)
@@ -217,7 +225,7 @@
 	case FaultCancelled:
 		// The send was cancelled at the deadline, and its result arrived before the
 		// end of the context was noticed.
-		return c.timeoutReply()
+		return c.timeoutReply(ctx)
 	default:
 		return c.reply(hysquery.ShardUnavailable, c.lastResult)
 	}
@@ -231,10 +239,14 @@
 	return t.shard(c.key()).backoff(t.now())
 }
 
-func (c *call) timeoutReply() SubReply {
+// timeoutReply returns the final reply when the context of the call has ended.
+func (c *call) timeoutReply(ctx context.Context) SubReply {
 	c.dequeue()
 	reason := "no searcher answered in time"
-	if c.startedSends() == 0 {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		reason = string(ErrStopping)
+	case c.startedSends() == 0:
 		reason = c.waitReason()
 	}
 	return c.reply(hysquery.ShardTimeout, Result{Reason: reason})
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -50,6 +50,7 @@
 	tables    map[hysservice.Name]*table
 	backlog   *backlog
 	workers   *workers
+	stop      *stopSignal
 	// onLimit is called when the known rate limit of a searcher has changed.
 	onLimit LimitFunc
 	// needPermits is called when a send needs a permit of a rate limit; hasPermits is
@@ -146,7 +147,7 @@
 		now: time.Now, send: send, hedging: true, admit: true,
 		hedge:  HedgePolicy{Percentile: hedgePercent, DefaultDelay: defaultHedgeDelay, RetryReserve: hedgeReserve},
 		budget: func(hysservice.Name) *hysbudget.Budget { return hysbudget.New(budgetShare, budgetSlack) },
-		tables: make(map[hysservice.Name]*table), groupLatencies: newGroupLatencies(), backlog: newBacklog(), workers: newWorkers(),
+		tables: make(map[hysservice.Name]*table), groupLatencies: newGroupLatencies(), backlog: newBacklog(), workers: newWorkers(), stop: newStopSignal(),
 		connected: func(hysmember.Searcher) bool { return true },
 		reachable: func(hysmember.SearcherID) bool { return true },
 		onLimit:   func(LimitEvent) {}, needPermits: func() {}, instanceCount: func() int { return 1 },
@@ -217,6 +218,9 @@
 	if isLost {
 		return UnreachableReply(sub)
 	}
+	if d.stop.isReached() {
+		return stoppingReply(sub, QueueState{})
+	}
 	c := &call{dispatcher: d, table: t, sub: sub, lost: lost, results: make(chan outcome, sub.maxRuns()+maxNotRun)}
 	if reply, refused := c.refusal(); refused {
 		return reply
--- a/io/hysfront/callers.go
+++ b/io/hysfront/callers.go
@@ -28,6 +28,9 @@
 type callerServer struct {
 	handler http.Handler
 	log     *slog.Logger
+	// requests is the context of all requests, endRequests cancels it with a cause.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -57,7 +60,9 @@
 
 // newCallerServer returns a server that is not yet started.
 func newCallerServer(handler http.Handler, log *slog.Logger) *callerServer {
-	return &callerServer{handler: handler, log: log, timeouts: newCallerTimeouts(hysroute.Limits{})}
+	c := &callerServer{handler: handler, log: log, timeouts: newCallerTimeouts(hysroute.Limits{})}
+	c.requests, c.endRequests = context.WithCancelCause(context.Background())
+	return c
 }
 
 // Serve passes connections to the current http.Server until the listener is closed.
@@ -109,7 +114,8 @@
 	server := &http.Server{
 		Handler: c.handler, ReadHeaderTimeout: c.timeouts.header, IdleTimeout: c.timeouts.idle,
 		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
-		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+		ErrorLog:    slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+		BaseContext: func(net.Listener) context.Context { return c.requests },
 	}
 	c.current = newHandoffListener(c.listener.Addr())
 	c.servers = append(c.servers, server)
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -1,7 +1,6 @@
 package hysfront
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -31,16 +30,6 @@
 	internalIdleTimeout = 30 * time.Second
 )
 
-// Timing of a planned stop.
-const (
-	// drainAcceptTime is how long new connections still arrive after the daemon is
-	// no longer ready: two readiness probes and the interval between them.
-	drainAcceptTime = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period that remains for the end of the
-	// process.
-	stopMargin = 500 * time.Millisecond
-)
-
 // port is one of the daemon's ports.
 type port struct {
 	name    string
@@ -96,22 +85,3 @@
 		p.close()
 	}
 }
-
-// drain stops the daemon without interrupting a request: it waits until no new
-// callers come, then until the requests in flight are finished.
-func (f *Front) drain(ports []port) {
-	f.draining.Store(true)
-	f.mu.Lock()
-	grace := f.settings.StopGrace
-	f.mu.Unlock()
-	f.log.Info("stopping", "stop-grace", grace)
-	accept := min(drainAcceptTime, grace/2)
-	time.Sleep(accept)
-	ctx, cancel := context.WithTimeout(context.Background(), grace-accept-stopMargin)
-	defer cancel()
-	if err := f.callerServer.shutdown(ctx); err != nil {
-		f.log.Warn("stopped with requests in flight", "error", err)
-	}
-	f.finishGathering(ctx)
-	closePorts(ports)
-}
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmessage"
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysroute"
@@ -102,9 +103,12 @@
 	})
 	e.usedAttempts = used
 	switch {
-	case ctx.Err() != nil:
+	case callerLeft(ctx):
 		e.abandon()
 		return true
+	case err != nil && ctx.Err() != nil:
+		e.fail(http.StatusGatewayTimeout, string(hysdispatch.ErrStopping))
+		return true
 	case errors.Is(err, ErrGathererLost), err != nil && used >= e.route.MaxAttempts:
 		e.fail(http.StatusBadGateway, err.Error())
 		return true
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -110,7 +110,7 @@
 			e.flush()
 		}
 		e.observeLateness(p, result.Answered)
-	case ctx.Err() != nil:
+	case callerLeft(ctx):
 		e.abandon()
 	case result.NotRun():
 		e.refuse(firstMissingReason(result), result.RetryAfter())
--- a/io/hysingress/reply.go
+++ b/io/hysingress/reply.go
@@ -1,11 +1,13 @@
 package hysingress
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
+	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmessage"
 )
 
@@ -64,6 +66,12 @@
 	e.writeText(status, failureBody, http.Header{})
 }
 
+// callerLeft reports whether the context of a request has ended because its caller has
+// disconnected, and not because this instance stops.
+func callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), hysdispatch.ErrStopping)
+}
+
 // abandon ends a request whose caller has disconnected.
 func (e *exchange) abandon() {
 	e.record.Outcome, e.record.Reason = OutcomeAbandoned, "the caller has left"
--- a/io/hysingress/single.go
+++ b/io/hysingress/single.go
@@ -18,7 +18,7 @@
 	switch {
 	case reply.Message != nil:
 		e.forwardResponse(reply)
-	case ctx.Err() != nil:
+	case callerLeft(ctx):
 		e.abandon()
 	case reply.NotRun:
 		e.refuse(reply.Reason, reply.RetryAfter)
