While lists of instances differ, one daemon hands out a whole rate limit (LIMIT)

Cause: each daemon took its own list of instances for that of all. A daemon that had just become the first in its list handed out the whole limit at once; the second took 'the first has declined' for 'nobody hands out anything'; and a second in rank declined whoever had another list, so that the asking daemon told a third one just that. Ruled out: permits counted twice (39 to 41 in each second while lists agree), own parts (0.1 of the limit together).

Fix: a change of the list counts as known to all after two reads of it (18 s, own path 2 s). Until then a daemon hands out the whole only if those that others may still ask in its place have declined to it, or refuse the connection; else 0.3 of it, safe beside another whole. One that comes back to the list declines, as one that starts does. Messages are the same, and no other daemon needs the fix; two daemons of an older build can still exceed the limit between themselves.

--- a/core/hyslimit/statement.go
+++ b/core/hyslimit/statement.go
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-//go:generate go tool stringer -type=StatementKind,Change,Mode,Skipped -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=StatementKind,Change,Mode,Skipped,Place -linecomment -output=enum_string.go
 
 // Rate is a number of requests per second.
 type Rate float64
--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -135,12 +135,22 @@
 		f.updateBudgets()
 	}
 	if changed {
-		f.permits.Ranking.SetInstances(instances)
+		f.setRanking(instances)
 		f.relays.SetInstances(f.self(), instances)
 		f.updateReplicas()
 	}
 }
 
+// setRanking applies the list to the ranks of the allocators. While all daemons start for
+// the first time, they know each other at once.
+func (f *Front) setRanking(instances hysmember.Instances) {
+	if f.settings.FirstStart && time.Since(f.started) < listSpreadTime {
+		f.permits.Ranking.Reset(instances)
+		return
+	}
+	f.permits.Ranking.SetInstances(instances)
+}
+
 // self returns this instance as it is announced to the others.
 func (f *Front) self() hysmember.Instance {
 	s := f.settings
--- a/io/hyspermit/keeper.go
+++ b/io/hyspermit/keeper.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	k := &hyspermit.Keeper{Self: id, Ranking: &hyslimit.Ranking{}, ...}
+//	k := &hyspermit.Keeper{Self: id, Ranking: hyslimit.NewRanking(spread), ...}
 //	go k.Run(ctx)
 //	dispatcher := hysdispatch.New(send, hysdispatch.WithPermits(k.Need, count))
 //	reply := k.Serve(request) // for each message of another instance
@@ -78,6 +78,10 @@
 	skipped map[hysmember.InstanceID]*skip
 	// failing are the groups for which no instance answers.
 	failing map[hyslimit.Group]bool
+	// standings are those by which this instance last answered the asks for a group.
+	standings map[hyslimit.Group]hyslimit.Standing
+	// predecessorsAskedAt is when the predecessors in a group were last asked.
+	predecessorsAskedAt map[hyslimit.Group]time.Time
 }
 
 // skip is why and until when an instance is not asked.
@@ -93,6 +97,8 @@
 		k.needed = make(chan struct{}, 1)
 		k.skipped = make(map[hysmember.InstanceID]*skip)
 		k.failing = make(map[hyslimit.Group]bool)
+		k.standings = make(map[hyslimit.Group]hyslimit.Standing)
+		k.predecessorsAskedAt = make(map[hyslimit.Group]time.Time)
 	})
 }
 
@@ -205,13 +211,33 @@
 // Serve answers a request as the allocator of its group, or as the second in rank. The
 // error wraps ErrDeclined if this instance is neither.
 func (k *Keeper) Serve(r Request) (hyslimit.Grants, error) {
-	mode, ok := k.Ranking.ModeOf(k.Self, r.Group, r.Skipped)
+	standing := k.Ranking.StandingOf(k.Self, r.Group)
+	k.logStanding(r.Group, standing)
+	if standing.Place == hyslimit.PlaceFirst && !standing.Settled && !standing.HandedOver {
+		k.askPredecessors(r.Group)
+	}
+	mode, ok := standing.Mode(r.Skipped)
 	if !ok || k.Declines() {
 		return nil, fmt.Errorf("Keeper.Serve: %w", ErrDeclined)
 	}
 	return k.Allocator.Grant(r.Asks, mode), nil
 }
 
+// logStanding logs when this instance answers asks for a group by another standing than
+// before.
+func (k *Keeper) logStanding(group hyslimit.Group, s hyslimit.Standing) {
+	k.init()
+	k.mu.Lock()
+	before, known := k.standings[group]
+	k.standings[group] = s
+	k.mu.Unlock()
+	if known && before == s || !known && s.Settled {
+		return
+	}
+	k.Log.Info("place among the allocators of rate limits", "region", group.Region, "group", group.Number,
+		"place", s.Place.String(), "settled", s.Settled, "was-first", s.WasFirst, "before", before.Place.String())
+}
+
 // skip records that a candidate did not answer, and returns the reason.
 func (k *Keeper) skip(id hysmember.InstanceID, err error) hyslimit.Skipped {
 	reason := hyslimit.SkippedSilent
