An announcement that the store does late does not take a daemon off the list

Cause: announcements were written unconditionally, each under a new lease. One without an answer, done up to 6 s later, replaced the next one and ended 30 s later with its own lease, while the daemon renewed the other lease. It never looked at what the store lists. Ruled out: leases that the store ends early (renewals succeeded to the end).

At its first renewal, 9 s after an announcement, a daemon checks that its key has the lease it renews, as an earlier start or an older build may have written late; also whenever a list lacks it. Keys, values and messages are unchanged, other daemons need nothing.

--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hyssopshore/core/hysmember"
 )
 
@@ -120,6 +123,7 @@
 // setInstances applies the list of announced instances: it adjusts this daemon's
 // share of the budgets to their number, and updates the dispatcher's replicas.
 func (f *Front) setInstances(instances hysmember.Instances) {
+	f.missingInList.Store(!instances.Contains(f.settings.Instance))
 	f.mu.Lock()
 	instances = f.withUnlisted(instances)
 	changed := !slices.Equal(f.announced, instances)
@@ -162,15 +166,21 @@
 type announcement struct {
 	lease LeaseID
 	era   hysmember.Era
+	// confirmed is set once the store lists the instance under the lease, so long after
+	// the announcement that no earlier write of it can still be done.
+	confirmed bool
 }
 
-// keepAnnounced renews the lease of the announcement. If that fails it announces
-// the instance again: the lease has expired, or it is of no use since the store is
-// unavailable. It returns the announcement in force, whose lease is 0 if there is none.
+// keepAnnounced renews the lease of the announcement. If that fails, or the instance is
+// listed under another lease or not at all, it announces the instance again. It returns the
+// announcement in force, whose lease is 0 if there is none.
 func (f *Front) keepAnnounced(ctx context.Context, a announcement) announcement {
 	era := f.eras.Current()
 	if a.lease != 0 && a.era == era {
 		err := f.source.Renew(ctx, a.lease)
+		if err == nil {
+			a, err = f.confirm(ctx, a)
+		}
 		if err == nil {
 			return a
 		}
@@ -187,6 +197,33 @@
 	return announcement{lease: lease, era: era}
 }
 
+// confirm checks that the store lists this instance under the lease of its announcement: at
+// the first renewal, since a write of an earlier start or of another build may have been done
+// late, and whenever a list lacks the instance. The error wraps errReplaced if it does not.
+func (f *Front) confirm(ctx context.Context, a announcement) (announcement, error) {
+	missing := f.missingInList.Swap(false)
+	if a.confirmed && !missing {
+		return a, nil
+	}
+	found, err := f.source.AnnouncedLease(ctx, f.settings.Instance)
+	if err != nil {
+		f.log.Warn("announcement not confirmed", "lease", a.lease, "error", err)
+		a.confirmed = false
+		return a, nil
+	}
+	if found != a.lease {
+		return a, fmt.Errorf("lease %d: %w", found, errReplaced)
+	}
+	if missing {
+		f.log.Info("announcement confirmed though a list lacks it", "lease", a.lease)
+	}
+	a.confirmed = true
+	return a, nil
+}
+
+// errReplaced means that the announcement in the store is not this one.
+const errReplaced = errors.ConstError("the store lists this instance under another lease, 0 for none")
+
 // announceSpread returns the time over which all daemons announce themselves again.
 func (f *Front) announceSpread() time.Duration {
 	rate := announceShare * f.settings.WritesPerSecond
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -111,6 +111,8 @@
 	peakInstances atomic.Int64
 	// permits obtains permits of the searchers' rate limits, and hands them out.
 	permits *hyspermit.Keeper
+	// missingInList is set if the last list of instances lacks this one.
+	missingInList atomic.Bool
 	// unlisted is set while other daemons may not know yet that this one exists.
 	unlisted atomic.Bool
 	store    dependency
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -63,6 +63,9 @@
 	// announcements counts them, also those that fail because failsAnnouncements is set.
 	announcements      int
 	failsAnnouncements bool
+	// replacedLease, unless 0, is the lease under which the store lists each daemon in
+	// place of that of its announcement.
+	replacedLease hysfront.LeaseID
 	// evidence holds the crash evidence that was written.
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
@@ -160,6 +163,14 @@
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
+		AnnouncedLease: func(context.Context, hysmember.InstanceID) (hysfront.LeaseID, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.replacedLease != 0 {
+				return s.replacedLease, nil
+			}
+			return 1, nil
+		},
 		ReadSharedState: func(context.Context) (hysfront.SharedState, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -103,11 +103,14 @@
 	// Decode decodes a configuration as the store holds it.
 	Decode func([]byte) StoredConfiguration
 	// Announce lists an instance for other daemons, for as long as its lease is
-	// renewed.
+	// renewed. An announcement whose result is not known does not replace a later one.
 	Announce func(context.Context, hysmember.Instance, time.Duration) (LeaseID, error)
 	// Renew renews the lease of an announced instance. The error is ErrLeaseExpired
 	// if it has expired.
 	Renew func(context.Context, LeaseID) error
+	// AnnouncedLease returns the lease under which an instance is announced, 0 if it is
+	// not.
+	AnnouncedLease func(context.Context, hysmember.InstanceID) (LeaseID, error)
 	// ReadSharedState returns what the daemons have written for each other.
 	ReadSharedState func(context.Context) (SharedState, error)
 	// WriteCrashEvidence writes an instance's record of a request that crashes
