--- a/core/hysgather/delegates.go
+++ b/core/hysgather/delegates.go
@@ -41,11 +41,14 @@
 	// DelegationLost means that the gatherer accepted the query but gave no
 	// answer.
 	DelegationLost // lost
+	// DelegationNotUnderstood means that the query could not be put into a message, or that
+	// a gatherer of another build can't read it. It is no sign of the gatherer's state.
+	DelegationNotUnderstood // not-understood
 )
 
 // NotRun reports whether the gatherer certainly ran nothing of the query.
 func (e DelegationEnd) NotRun() bool {
-	return e == DelegationDeclined || e == DelegationRefused
+	return e == DelegationDeclined || e == DelegationRefused || e == DelegationNotUnderstood
 }
 
 // Delegates selects the gatherers to which an instance delegates its queries.
@@ -106,7 +109,7 @@
 func (d *Delegates) Record(id hysmember.InstanceID, e DelegationEnd, retryAfter time.Duration) {
 	span := silentBackoff
 	switch e {
-	case DelegationAnswered:
+	case DelegationAnswered, DelegationNotUnderstood:
 		return
 	case DelegationDeclined:
 		span = min(max(retryAfter, minDeclinedBackoff), maxDeclinedBackoff)
--- a/core/hysgather/enum_string.go
+++ b/core/hysgather/enum_string.go
@@ -13,11 +13,12 @@
 	_ = x[DelegationRefused-2]
 	_ = x[DelegationSilent-3]
 	_ = x[DelegationLost-4]
+	_ = x[DelegationNotUnderstood-5]
 }
 
-const _DelegationEnd_name = "answereddeclinedrefusedsilentlost"
+const _DelegationEnd_name = "answereddeclinedrefusedsilentlostnot-understood"
 
-var _DelegationEnd_index = [...]uint8{0, 8, 16, 23, 29, 33}
+var _DelegationEnd_index = [...]uint8{0, 8, 16, 23, 29, 33, 47}
 
 func (i DelegationEnd) String() string {
 	idx := int(i) - 0
--- a/core/hysgather/relays.go
+++ b/core/hysgather/relays.go
@@ -186,6 +186,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := relayKey{instance: id, service: service}
+	if e == DelegationNotUnderstood {
+		return
+	}
 	if e == DelegationAnswered {
 		delete(r.backoffs, key)
 		return
--- a/io/hysfront/gather.go
+++ b/io/hysfront/gather.go
@@ -14,6 +14,7 @@
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysingress"
+	"hyssopshore/io/hysrelay"
 )
 
 // Reasons for which this daemon declines a query of another one.
@@ -206,6 +207,8 @@
 		return hysgather.DelegationDeclined, errLost.RetryAfter
 	case errors.Is(err, hysingress.ErrGathererLost):
 		return hysgather.DelegationLost, 0
+	case errors.Is(err, hysrelay.ErrNotUnderstood):
+		return hysgather.DelegationNotUnderstood, 0
 	case errors.Is(err, unix.ECONNREFUSED), connect.CodeOf(err) == connect.CodeUnimplemented:
 		return hysgather.DelegationRefused, 0
 	default:
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysmessage"
@@ -24,6 +26,9 @@
 	ErrUnresponsive = errors.ConstError("the gatherer is silent")
 	// ErrMalformed means that the gatherer has sent an answer that no daemon gives.
 	ErrMalformed = errors.ConstError("the gatherer's answer is malformed")
+	// ErrNotUnderstood means that the request could not be encoded here, or not be decoded
+	// by a gatherer of another build. It has not run, and neither is out of order.
+	ErrNotUnderstood = errors.ConstError("the gatherer can't read the request")
 )
 
 // Timing of delegated queries.
@@ -65,7 +70,7 @@
 	default:
 		declined := &hysingress.DeclinedError{Reason: err.Error()}
 		errors.As(err, &declined)
-		return stream.Send(&front.GatherReply{Reason: err.Error(), RetryAfterUs: declined.RetryAfter.Microseconds()})
+		return stream.Send(&front.GatherReply{Reason: encodeReason(err.Error()), RetryAfterUs: declined.RetryAfter.Microseconds()})
 	}
 }
 
@@ -157,15 +162,27 @@
 
 // gatherError returns why a gatherer has not answered.
 func gatherError(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), ErrUnresponsive) {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrUnresponsive):
 		return fmt.Errorf("Client.Gather: %w", ErrUnresponsive)
+	case isNotUnderstood(err):
+		return fmt.Errorf("Client.Gather: %w: %w", ErrNotUnderstood, err)
+	default:
+		return fmt.Errorf("Client.Gather: %w", err)
+	}
+}
+
+// isNotUnderstood reports whether a request was not encoded here, or not decoded there.
+func isNotUnderstood(err error) bool {
+	if connect.IsWireError(err) {
+		return connect.CodeOf(err) == connect.CodeInvalidArgument
 	}
-	return fmt.Errorf("Client.Gather: %w", err)
+	return connect.CodeOf(err) == connect.CodeInternal && errors.Is(err, proto.Error)
 }
 
 func encodeDelegation(d hysingress.Delegation) *front.GatherRequest {
 	return &front.GatherRequest{
-		Method: d.Message.Method, Target: d.Message.Target, Host: d.Message.Host,
+		Method: d.Message.Method, Target: []byte(d.Message.Target), Host: []byte(d.Message.Host),
 		Header: encodeHeader(d.Message.Header), Body: d.Message.Body,
 		ElapsedUs: time.Since(d.Start).Microseconds(), Configuration: int64(d.Configuration),
 		UsedAttempts: int32(d.UsedAttempts),
@@ -175,7 +192,7 @@
 func decodeDelegation(r *front.GatherRequest) hysingress.Delegation {
 	return hysingress.Delegation{
 		Message: &hysmessage.Request{
-			Method: r.Method, Target: r.Target, Host: r.Host, Header: decodeHeader(r.Header), Body: r.Body,
+			Method: r.Method, Target: string(r.Target), Host: string(r.Host), Header: decodeHeader(r.Header), Body: r.Body,
 		},
 		Start:         time.Now().Add(-time.Duration(max(r.ElapsedUs, 0)) * time.Microsecond),
 		Configuration: hysroute.Version(r.Configuration),
@@ -186,7 +203,7 @@
 func encodeDelegationResult(d hysingress.DelegationResult) *front.GatherReply {
 	return &front.GatherReply{
 		Status: int32(d.Response.Status), Header: encodeHeader(d.Response.Header), Body: d.Response.Body,
-		Outcome: int32(d.Record.Outcome), Reason: d.Record.Reason, Configuration: int64(d.Record.Configuration),
+		Outcome: int32(d.Record.Outcome), Reason: encodeReason(d.Record.Reason), Configuration: int64(d.Record.Configuration),
 		Shards: int32(d.Record.Shards), Answered: int32(d.Record.Answered), Sends: int32(d.Record.Sends),
 		RetryAfterUs: d.Record.RetryAfter.Microseconds(),
 	}
@@ -206,7 +223,11 @@
 func encodeHeader(h http.Header) []*front.Field {
 	fields := make([]*front.Field, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &front.Field{Name: name, Values: values})
+		field := &front.Field{Name: name}
+		for _, v := range values {
+			field.Values = append(field.Values, []byte(v))
+		}
+		fields = append(fields, field)
 	}
 	return fields
 }
@@ -214,11 +235,19 @@
 func decodeHeader(fields []*front.Field) http.Header {
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
-		h[f.Name] = f.Values
+		var values []string
+		for _, v := range f.Values {
+			values = append(values, string(v))
+		}
+		h[f.Name] = values
 	}
 	return h
 }
 
+// encodeReason returns a reason without bytes that a message can't hold. It may quote what
+// callers or searchers sent.
+func encodeReason(reason string) string { return strings.ToValidUTF8(reason, "\uFFFD") }
+
 // valid reports whether an answer has a status and an outcome that a daemon sends.
 func valid(d hysingress.DelegationResult) bool {
 	const lastStatus = 599
--- a/io/hysrelay/run.go
+++ b/io/hysrelay/run.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		declined := &hysingress.DeclinedError{Reason: err.Error()}
 		errors.As(err, &declined)
-		return stream.Send(&front.RunReply{Reason: err.Error(), RetryAfterUs: declined.RetryAfter.Microseconds()})
+		return stream.Send(&front.RunReply{Reason: encodeReason(err.Error()), RetryAfterUs: declined.RetryAfter.Microseconds()})
 	}
 	if len(subs) == 0 {
 		return nil
@@ -90,8 +90,8 @@
 
 // Run lets a daemon run sub-requests of one request, and calls deliver for each reply.
 // The daemon cancels them when the context ends. The error is a DeclinedError if it has
-// not accepted them, and wraps ErrGathererLost if it has, and gives no more replies.
-// After any other error it is not known to have done either.
+// not accepted them, and wraps ErrGathererLost if it has, and gives no more replies, or
+// ErrNotUnderstood if they were not sent or not read. After any other error it is not known to have done either.
 func (c *Client) Run(ctx context.Context, address hysmember.Address, subs []hysdispatch.SubRequest, o RunOptions, deliver func(RunResult)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -135,7 +135,7 @@
 func encodeRun(subs []hysdispatch.SubRequest, margin time.Duration) *front.RunRequest {
 	first := subs[0]
 	r := &front.RunRequest{
-		RequestId: string(first.RequestID), Method: first.Message.Method, Target: first.Message.Target, Host: first.Message.Host,
+		RequestId: []byte(first.RequestID), Method: first.Message.Method, Target: []byte(first.Message.Target), Host: []byte(first.Message.Host),
 		Header: encodeHeader(first.Message.Header), Body: first.Message.Body,
 		Group: string(first.Group), Weight: first.Weight, Class: int32(first.Class),
 		Idempotent: first.Idempotent, Returning: first.Returning, RetryNotRun: first.RetryNotRun,
@@ -152,7 +152,7 @@
 
 func decodeRun(r *front.RunRequest) []hysdispatch.SubRequest {
 	message := &hysmessage.Request{
-		Method: r.Method, Target: r.Target, Host: r.Host, Header: decodeHeader(r.Header), Body: r.Body,
+		Method: r.Method, Target: string(r.Target), Host: string(r.Host), Header: decodeHeader(r.Header), Body: r.Body,
 	}
 	now := time.Now()
 	common := hysdispatch.SubRequest{
@@ -182,7 +182,7 @@
 
 func encodeResult(r RunResult) *front.PartResult {
 	result := &front.PartResult{
-		Index: int32(r.Index), Status: int32(r.Reply.Status), Reason: r.Reply.Reason, RetryAfterUs: r.Reply.RetryAfter.Microseconds(),
+		Index: int32(r.Index), Status: int32(r.Reply.Status), Reason: encodeReason(r.Reply.Reason), RetryAfterUs: r.Reply.RetryAfter.Microseconds(),
 		NotRun: r.Reply.NotRun, Unreachable: r.Reply.Unreachable, Searcher: string(r.Reply.Searcher), Sends: int32(r.Reply.Sends),
 		PossibleRuns: int32(r.Reply.PossibleRuns),
 	}
