Daemons that a list lacks are still asked to relay, after those listed (RECOVER)

Cause: daemons that are gone from the list were forgotten at once, whether they answer or not.

Fix: up to 64 of them are remembered, asked after those that are listed, by the same backoffs, and forgotten when they refuse the connection.

--- a/core/hysgather/relays.go
+++ b/core/hysgather/relays.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,14 @@
 	backoffs map[relayKey]relayBackoff
 	// lastResortAt is when an instance was last picked in spite of its backoff.
 	lastResortAt time.Time
+	// unlisted are the instances that are gone from the list, the latest last. One may
+	// live: its announcement was lost, or the list is not up to date.
+	unlisted hysmember.Instances
 }
 
+// maxUnlisted bounds the instances that are remembered though the list lacks them.
+const maxUnlisted = 64
+
 // relayBackoff is the backoff of an instance, and how long it is.
 type relayBackoff struct {
 	until time.Time
@@ -65,7 +72,8 @@
 // defaultProcessorShare stands for a processor share that is not known.
 const defaultProcessorShare = 1.0
 
-// SetInstances replaces the instances, from which self is left out.
+// SetInstances replaces the instances, from which self is left out. Those that the list
+// lacks from now on are remembered until they refuse a connection.
 func (r *Relays) SetInstances(self hysmember.Instance, all hysmember.Instances) {
 	tiers := make([]relayTier, 3)
 	for _, i := range all {
@@ -83,9 +91,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.remember(all)
 	r.tiers = tiers
 }
 
+// remember keeps the instances that a new list lacks. The caller holds mu.
+func (r *Relays) remember(listed hysmember.Instances) {
+	known := make(map[hysmember.InstanceID]bool, len(listed))
+	for _, i := range listed {
+		known[i.ID] = true
+	}
+	for _, t := range r.tiers {
+		r.unlisted = append(r.unlisted, t.instances...)
+	}
+	r.unlisted = slices.DeleteFunc(r.unlisted, func(i hysmember.Instance) bool { return known[i.ID] })
+	r.unlisted = r.unlisted[max(len(r.unlisted)-maxUnlisted, 0):]
+}
+
 func (t *relayTier) add(i hysmember.Instance) {
 	share := i.ProcessorShare
 	if share <= 0 {
@@ -109,9 +131,22 @@
 			return i, true
 		}
 	}
+	if i, ok := r.pickUnlisted(service, excluded); ok {
+		return i, true
+	}
 	return r.lastResort(excluded)
 }
 
+// pickUnlisted returns an instance that is gone from the list.
+func (r *Relays) pickUnlisted(service hysservice.Name, excluded hysmember.Instances) (hysmember.Instance, bool) {
+	for _, n := range rand.Perm(len(r.unlisted)) {
+		if i := r.unlisted[n]; r.available(i, service, excluded) {
+			return i, true
+		}
+	}
+	return hysmember.Instance{}, false
+}
+
 // lastResort returns any instance that was not asked, at most one each minRelayBackoff.
 func (r *Relays) lastResort(excluded hysmember.Instances) (hysmember.Instance, bool) {
 	now := r.now()
@@ -189,6 +224,9 @@
 	if e == DelegationNotUnderstood {
 		return
 	}
+	if e == DelegationRefused {
+		r.unlisted = slices.DeleteFunc(r.unlisted, func(i hysmember.Instance) bool { return i.ID == id })
+	}
 	if e == DelegationAnswered {
 		delete(r.backoffs, key)
 		return
--- a/core/hysgather/relays_test.go
+++ b/core/hysgather/relays_test.go
@@ -116,4 +116,29 @@
 		now = now.Add(260 * time.Millisecond)
 		Expect(picks(1)).To(HaveLen(1))
 	})
+
+	// Guards against an instance that is forgotten though it lives, since a list lacks it:
+	// review/3.
+	It("are remembered when a list lacks them, after those that are listed", func() {
+		relays.SetInstances(self, append(instances("a", "r", 1), instances("b", "r", 1)...))
+		relays.SetInstances(self, instances("b", "r", 1))
+		Expect(picks(20)).To(HaveLen(1))
+		relays.Record("b-0", "", hysgather.DelegationDeclined, time.Hour)
+		Expect(picks(1)).To(HaveKey(hysmember.InstanceID("a-0")))
+		relays.SetInstances(self, nil)
+		Expect(picks(20)).To(HaveKey(hysmember.InstanceID("a-0")))
+		relays.Record("a-0", "", hysgather.DelegationRefused, 0)
+		now = now.Add(time.Minute)
+		Expect(picks(20)).To(Equal(map[hysmember.InstanceID]int{"b-0": 20}), "nothing listens at the other one")
+	})
+
+	It("are remembered in a bounded number, and not beside their listed selves", func() {
+		for n := range 300 {
+			relays.SetInstances(self, hysmember.Instances{{ID: hysmember.InstanceID(fmt.Sprint(n)), Address: "10.0.0.1:1", Zone: "a", Region: "r"}})
+		}
+		relays.SetInstances(self, nil)
+		Expect(len(picks(20000))).To(Equal(64))
+		relays.SetInstances(self, hysmember.Instances{{ID: "299", Address: "10.0.0.1:1", Zone: "a", Region: "r"}})
+		Expect(picks(50)).To(Equal(map[hysmember.InstanceID]int{"299": 50}))
+	})
 })
