Names of the stop in the dispatcher; one job a line where structs are made

No behaviour changes but one: a daemon that has just come back to the list does not ask its predecessors for a handover, since it declines anyway. endWaiting and stopRefusal were stopReply and stoppingReply.

--- a/core/hysdispatch/admission.go
+++ b/core/hysdispatch/admission.go
@@ -110,7 +110,7 @@
 	}
 	wait := s.expectedWait(now, c.item(s, nil))
 	if c.dispatcher.stop.before(now.Add(wait)) {
-		return stoppingReply(c.sub, s.queueState(now, wait)), true
+		return stopRefusal(c.sub, s.queueState(now, wait)), true
 	}
 	if now.Add(wait+s.meanTime).After(c.sub.Deadline) || s.limited() && wait > c.sub.usefulTime(now) {
 		return c.refuse(s, now, wait, "the queue is longer than the deadline", max(wait, minRetryAfter)), true
--- a/core/hysdispatch/admit.go
+++ b/core/hysdispatch/admit.go
@@ -74,7 +74,7 @@
 		return d.refuseQuery(subs, expected, "too few shards have a searcher that may be sent to now", expected.backoff), false
 	}
 	if d.stop.before(now.Add(expected.wait)) {
-		return stoppingReply(*first, expected.queue), false
+		return stopRefusal(*first, expected.queue), false
 	}
 	fraction := first.admittedFraction(now, expected.wait, expected.meanTime)
 	if first.admissionRank() > fraction {
--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -73,7 +73,7 @@
 			return SubReply{}, true
 		case <-stopping:
 			stopping = nil
-			if reply, done := c.stopReply(); done {
+			if reply, done := c.endWaiting(); done {
 				return reply, false
 			}
 		case <-hedge.C:
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -219,7 +219,7 @@
 		return UnreachableReply(sub)
 	}
 	if d.stop.isReached() {
-		return stoppingReply(sub, QueueState{})
+		return stopRefusal(sub, QueueState{})
 	}
 	c := &call{dispatcher: d, table: t, sub: sub, lost: lost, results: make(chan outcome, sub.maxRuns()+maxNotRun)}
 	if reply, refused := c.refusal(); refused {
--- a/core/hysdispatch/stop.go
+++ b/core/hysdispatch/stop.go
@@ -51,17 +51,17 @@
 	time.AfterFunc(at.Sub(d.now()), func() { close(d.stop.reached) })
 }
 
-// stoppingReply returns the reply to a sub-request that is refused because it would have
+// stopRefusal returns the reply to a sub-request that is refused because it would have
 // to wait for longer than this instance runs.
-func stoppingReply(sub SubRequest, queue QueueState) SubReply {
+func stopRefusal(sub SubRequest, queue QueueState) SubReply {
 	reply := notRunReply(sub, hysquery.ShardUnavailable, string(ErrStopping), stoppingRetryAfter)
 	reply.Queue = queue
 	return reply
 }
 
-// stopReply removes the sends that were not started, and returns the final reply if no
+// endWaiting removes the sends that were not started, and returns the final reply if no
 // other is running.
-func (c *call) stopReply() (SubReply, bool) {
+func (c *call) endWaiting() (SubReply, bool) {
 	c.removeQueued()
 	if c.running > 0 {
 		return SubReply{}, false
--- a/core/hysdispatch/table.go
+++ b/core/hysdispatch/table.go
@@ -98,7 +98,11 @@
 
 func newTable(d *Dispatcher, budget *hysbudget.Budget) *table {
 	return &table{
-		now: d.now, send: d.send, queueOptions: d.queueOptions, budget: budget, groupLatencies: d.groupLatencies, connected: d.connected, reachable: d.reachable, backlog: d.backlog, workers: d.workers, onLimit: d.onLimit, needPermits: d.needPermits, hasPermits: d.hasPermits, instanceCount: d.instanceCount,
+		now: d.now, send: d.send, queueOptions: d.queueOptions,
+		budget: budget, groupLatencies: d.groupLatencies,
+		connected: d.connected, reachable: d.reachable,
+		backlog: d.backlog, workers: d.workers,
+		onLimit: d.onLimit, needPermits: d.needPermits, hasPermits: d.hasPermits, instanceCount: d.instanceCount,
 		shards: make(map[shardKey]*shard), lost: make(chan struct{}),
 		replicas: make(map[hysmember.SearcherID]*replica), pushbacks: make(pushbacks),
 	}
--- a/core/hyslimit/rank.go
+++ b/core/hyslimit/rank.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// AwaitsHandover reports whether the instance has become the first in rank, and does not
+// know yet whether those that were candidates before still hand out permits.
+func (s Standing) AwaitsHandover() bool {
+	return s.Place == PlaceFirst && !s.Settled && !s.Joined && !s.HandedOver
+}
+
 // listing is a list of instances that was in force for a time.
 type listing struct {
 	instances hysmember.Instances
@@ -215,7 +221,7 @@
 		before := l.placeOf(id, g)
 		s.WasFirst = s.WasFirst && before != PlaceNone
 		s.Settled = s.Settled && before == s.Place && (s.Place == PlaceFirst || l.hasOrder(newest, g))
-		s.Joined = s.Joined || !l.instances.Contains(id)
+		s.Joined = s.Joined || before == PlaceNone && !l.instances.Contains(id)
 	}
 	s.WasFirst = s.WasFirst && s.Place == PlaceSecond
 	s.HandedOver = len(r.predecessors(id, g)) == 0
--- a/io/hyspermit/keeper.go
+++ b/io/hyspermit/keeper.go
@@ -213,7 +213,7 @@
 func (k *Keeper) Serve(r Request) (hyslimit.Grants, error) {
 	standing := k.Ranking.StandingOf(k.Self, r.Group)
 	k.logStanding(r.Group, standing)
-	if standing.Place == hyslimit.PlaceFirst && !standing.Settled && !standing.HandedOver {
+	if standing.AwaitsHandover() {
 		k.askPredecessors(r.Group)
 	}
 	mode, ok := standing.Mode(r.Skipped)
