--- a/io/hysfront/announce.go
+++ b/io/hysfront/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -166,9 +165,8 @@
 type announcement struct {
 	lease LeaseID
 	era   hysmember.Era
-	// confirmed is set once the store lists the instance under the lease, so long after
-	// the announcement that no earlier write of it can still be done.
-	confirmed bool
+	// confirmations counts how often the store has listed the instance under the lease.
+	confirmations int
 }
 
 // keepAnnounced renews the lease of the announcement. If that fails, or the instance is
@@ -197,32 +195,36 @@
 	return announcement{lease: lease, era: era}
 }
 
-// confirm checks that the store lists this instance under the lease of its announcement: at
-// the first renewal, since a write of an earlier start or of another build may have been done
-// late, and whenever a list lacks the instance. The error wraps errReplaced if it does not.
+// neededConfirmations is at how many renewals after an announcement it is looked up. A write
+// of an earlier start, or of another build, may be done seconds after it, and what is read may
+// be seconds old: at the first renewal most are seen, at the second one all.
+const neededConfirmations = 2
+
+// confirm checks that the store lists this instance under the lease of its announcement, at
+// the first renewals and whenever a list lacks the instance. The error is errReplaced if it
+// does not.
 func (f *Front) confirm(ctx context.Context, a announcement) (announcement, error) {
 	missing := f.missingInList.Swap(false)
-	if a.confirmed && !missing {
+	if a.confirmations >= neededConfirmations && !missing {
 		return a, nil
 	}
-	found, err := f.source.AnnouncedLease(ctx, f.settings.Instance)
-	if err != nil {
+	announced, err := f.source.IsAnnounced(ctx, f.settings.Instance, a.lease)
+	switch {
+	case err != nil:
 		f.log.Warn("announcement not confirmed", "lease", a.lease, "error", err)
-		a.confirmed = false
+		a.confirmations = 0
 		return a, nil
-	}
-	if found != a.lease {
-		return a, fmt.Errorf("lease %d: %w", found, errReplaced)
-	}
-	if missing {
+	case !announced:
+		return a, errReplaced
+	case missing:
 		f.log.Info("announcement confirmed though a list lacks it", "lease", a.lease)
 	}
-	a.confirmed = true
+	a.confirmations++
 	return a, nil
 }
 
 // errReplaced means that the announcement in the store is not this one.
-const errReplaced = errors.ConstError("the store lists this instance under another lease, 0 for none")
+const errReplaced = errors.ConstError("the store lists this instance under another lease or not at all")
 
 // announceSpread returns the time over which all daemons announce themselves again.
 func (f *Front) announceSpread() time.Duration {
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -63,9 +63,10 @@
 	// announcements counts them, also those that fail because failsAnnouncements is set.
 	announcements      int
 	failsAnnouncements bool
-	// replacedLease, unless 0, is the lease under which the store lists each daemon in
-	// place of that of its announcement.
-	replacedLease hysfront.LeaseID
+	// replaced is set while the announcements in the store are not those of the daemons.
+	// lookups counts how often that was asked.
+	replaced bool
+	lookups  int
 	// evidence holds the crash evidence that was written.
 	evidence hysquarantine.Records
 	// shards are the shards of the query route. Without any there is no such route.
@@ -163,13 +164,11 @@
 			return 1, nil
 		},
 		Renew: func(context.Context, hysfront.LeaseID) error { return nil },
-		AnnouncedLease: func(context.Context, hysmember.InstanceID) (hysfront.LeaseID, error) {
+		IsAnnounced: func(context.Context, hysmember.InstanceID, hysfront.LeaseID) (bool, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if s.replacedLease != 0 {
-				return s.replacedLease, nil
-			}
-			return 1, nil
+			s.lookups++
+			return !s.replaced, nil
 		},
 		ReadSharedState: func(context.Context) (hysfront.SharedState, error) {
 			s.mu.Lock()
--- a/io/hysfront/source.go
+++ b/io/hysfront/source.go
@@ -108,9 +108,9 @@
 	// Renew renews the lease of an announced instance. The error is ErrLeaseExpired
 	// if it has expired.
 	Renew func(context.Context, LeaseID) error
-	// AnnouncedLease returns the lease under which an instance is announced, 0 if it is
-	// not.
-	AnnouncedLease func(context.Context, hysmember.InstanceID) (LeaseID, error)
+	// IsAnnounced reports whether an instance is announced under a lease. That it is may
+	// be some seconds old, that it is not is up to date.
+	IsAnnounced func(context.Context, hysmember.InstanceID, LeaseID) (bool, error)
 	// ReadSharedState returns what the daemons have written for each other.
 	ReadSharedState func(context.Context) (SharedState, error)
 	// WriteCrashEvidence writes an instance's record of a request that crashes
