Records say how often one shard was sent a request, and how many attempts were left (BUDGET)

The logs could not tell the hypotheses of the incident apart: 'sends' adds up all shards, and a gatherer whose query was cancelled did not say how far it had got. Nothing decides by the new fields.

--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -97,8 +97,14 @@
 	Answered int
 	// Missing lists the shards without a result, with the reasons.
 	Missing []MissingShard
-	// Sends is the number of sends to searchers.
-	Sends int
+	// Sends is the number of sends to searchers, MaxShardRuns the number of runs that
+	// one shard may have had here, whichever had most.
+	Sends        int
+	MaxShardRuns int
+	// MaxAttempts is how many searchers of one shard may run the request, UsedAttempts
+	// how many may have done so before it was run here.
+	MaxAttempts  int
+	UsedAttempts int
 	// Searcher is the one whose response was forwarded.
 	Searcher   string
 	RetryAfter time.Duration
@@ -234,7 +240,7 @@
 		e.reject(http.StatusNotFound, "no route matches")
 		return false
 	}
-	e.route, e.record.Route, e.record.Goal = route, route.Name, route.Goal
+	e.route, e.record.Route, e.record.Goal, e.record.MaxAttempts = route, route.Name, route.Goal, route.MaxAttempts
 	if limit := state.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		e.reject(http.StatusRequestHeaderFieldsTooLarge, "the head is too large")
 		return false
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -63,6 +63,7 @@
 // fanOut sends the sub-requests of the query. It reports whether the request has ended.
 // If it may be delegated and its searchers were lost meanwhile, it has not.
 func (e *exchange) fanOut(ctx context.Context, delegable bool) bool {
+	e.record.UsedAttempts = e.usedAttempts
 	s := e.directFanOut(delegable)
 	if refusal, ok := e.admit(s.SubRequests, s.Policy.Minimum); !ok {
 		e.record.Queue = refusal.Queue
@@ -79,7 +80,7 @@
 	// sub-requests.
 	result.CollectOutstanding()
 	for _, reply := range result.Replies {
-		e.record.Sends += reply.Sends
+		e.recordSends(reply)
 		e.recordRelay(reply)
 	}
 	e.record.Missing = missingShards(e.route.Shards, covered, result.Replies)
@@ -143,7 +144,7 @@
 	runs := 0
 	for _, reply := range result.Replies {
 		runs = max(runs, reply.PossibleRuns, possibleRuns(reply))
-		e.record.Sends += reply.Sends
+		e.recordSends(reply)
 	}
 	if e.delegated {
 		e.searchersLost, e.possibleRuns = true, runs
@@ -163,6 +164,12 @@
 	return reply.Sends
 }
 
+// recordSends records how often a sub-request was sent, and may have run.
+func (e *exchange) recordSends(reply hysdispatch.SubReply) {
+	e.record.Sends += reply.Sends
+	e.record.MaxShardRuns = max(e.record.MaxShardRuns, reply.PossibleRuns, possibleRuns(reply))
+}
+
 // recordRelay records that another instance has run a sub-request.
 func (e *exchange) recordRelay(reply hysdispatch.SubReply) {
 	if reply.RelayedTo != "" {
--- a/io/hysingress/single.go
+++ b/io/hysingress/single.go
@@ -14,7 +14,8 @@
 	e.record.Service = service
 	reply := e.submit(nil, false)(ctx, e.subRequest(service))
 	e.recordRelay(reply)
-	e.record.Sends, e.record.Searcher, e.record.Reason, e.record.Queue = reply.Sends, string(reply.Searcher), reply.Reason, reply.Queue
+	e.recordSends(reply)
+	e.record.Searcher, e.record.Reason, e.record.Queue = string(reply.Searcher), reply.Reason, reply.Queue
 	switch {
 	case reply.Message != nil:
 		e.forwardResponse(reply)
