--- a/internal/hystest/proxy.go
+++ b/internal/hystest/proxy.go
@@ -31,6 +31,10 @@
 	links    map[*link]bool
 	delay    time.Duration
 	accepted int
+	// muted is set while the bytes of all replies are dropped, and closeDelay is how much
+	// later than one end closes a connection the other end learns of it.
+	muted      bool
+	closeDelay time.Duration
 	// hanging is set while new connections hang, and closed when they no longer do.
 	// parked is closed once none is accepted any more. fillers are the connections that
 	// fill the queue of the listener.
@@ -80,6 +84,22 @@
 	p.delay = d
 }
 
+// SetMuted sets whether the bytes of all replies are dropped, on open and new
+// connections. Requests arrive, and so do the ends of connections.
+func (p *Proxy) SetMuted(muted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted = muted
+}
+
+// SetCloseDelay sets how much later than one end closes a connection the other end learns
+// of it, as if the packets that say so were lost and sent again.
+func (p *Proxy) SetCloseDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeDelay = d
+}
+
 // Freeze makes the open connections drop every byte in the given directions from
 // now on, without closing them. New connections are not affected.
 func (p *Proxy) Freeze(directions ...Direction) {
@@ -156,15 +176,17 @@
 	for {
 		n, err := from.Read(buffer)
 		p.mu.Lock()
-		delay, frozen := p.delay, l.frozen[d]
+		delay, closeDelay := p.delay, p.closeDelay
+		frozen, muted := l.frozen[d], p.muted && d == DirectionReply
 		p.mu.Unlock()
 		if err != nil && !frozen {
+			time.Sleep(closeDelay)
 			p.remove(l)
 		}
 		if err != nil {
 			return
 		}
-		if frozen {
+		if frozen || muted {
 			continue
 		}
 		time.Sleep(delay)
--- a/io/hysfront/export_test.go
+++ b/io/hysfront/export_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"hyssopshore/core/hysgather"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
 	"hyssopshore/io/hysrelay"
@@ -20,6 +21,9 @@
 // ApplySnapshot applies a snapshot of the store.
 func (f *Front) ApplySnapshot(s Snapshot) { f.applySnapshot(s) }
 
+// Relay returns the function that runs the sub-requests of a query over some shards.
+func (f *Front) Relay(shards []hysservice.Name) hysgather.SubmitFunc { return f.relay(shards, false) }
+
 // Handler returns the handler of callers' requests.
 func (f *Front) Handler() http.Handler { return f.ingress }
 
--- a/io/hysfront/front_test.go
+++ b/io/hysfront/front_test.go
@@ -191,6 +191,7 @@
 type daemon struct {
 	settings hysfront.Settings
 	options  []hysfront.Option
+	front    *hysfront.Front
 	stop     context.CancelFunc
 	stopped  chan error
 	log      *hystest.Log
@@ -220,6 +221,7 @@
 	d.stop = stop
 	options := append(d.options, hysfront.WithDroppedLines(func() int64 { return droppedLines }))
 	front := hysfront.New(d.settings, s, headers, slog.New(slog.NewJSONHandler(d.log, nil)), options...)
+	d.front = front
 	go func() { d.stopped <- front.Run(ctx, nil) }()
 	DeferCleanup(func() {
 		stop()
