A daemon that accepts a query unheard lets one searcher of a shard run it (BUDGET)

Callers saw nothing; searchers ran more than they should: requests of a route with two attempts ran at three searchers of one shard.

Cause: a daemon that gets no acceptance of a delegated query (or of relayed sub-requests) in time counts one run, cancels, and runs it itself with what is left. The other one could use all attempts of the route until the cancel reached it, which takes long where either daemon is slow or the network loses a packet. The class: a bound on what another daemon does that rests on a cancel arriving soon.

Fix: what may be used unheard is one run, by what the message says. The call has a number; once its sender knows that it is accepted (and so can't take the daemon for silent any more), it confirms it by a probe, and the other attempts may be used. Hedges and retries that would be a second run wait for that. A call that is part of an unconfirmed one is confirmed after it. No other daemon needs the fix: a build before reads that one attempt is left, and one that gives no number gets one run.

--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -25,9 +25,11 @@
 	// mayHaveRun is true once a searcher may have run the sub-request.
 	mayHaveRun bool
 	// notRun counts the sends that searchers have not run and never will.
-	notRun     int
-	lastResult Result
-	searcher   hysmember.SearcherID
+	notRun int
+	// retryAwaits is set while a retry waits for the confirmation of the sub-request.
+	retryAwaits bool
+	lastResult  Result
+	searcher    hysmember.SearcherID
 }
 
 func (c *call) key() shardKey {
@@ -64,8 +66,8 @@
 // await waits for sends to end, starts hedges and retries, and returns the final
 // reply. It returns true instead if the searchers of the service were lost meanwhile.
 func (c *call) await(ctx, sendCtx context.Context, hedge *time.Timer) (SubReply, bool) {
-	stopping := c.dispatcher.stop.reached
-	for c.running > 0 {
+	stopping, confirmed := c.dispatcher.stop.reached, c.sub.Confirmed
+	for c.running > 0 || c.retryAwaits {
 		select {
 		case <-ctx.Done():
 			return c.timeoutReply(ctx), false
@@ -76,6 +78,10 @@
 			if reply, done := c.endWaiting(); done {
 				return reply, false
 			}
+		case <-confirmed:
+			confirmed = nil
+			c.confirm(ctx, sendCtx)
+			hedge.Reset(c.checkHedge(sendCtx))
 		case <-hedge.C:
 			hedge.Reset(c.checkHedge(sendCtx))
 		case o := <-c.results:
@@ -183,8 +189,11 @@
 }
 
 // exhausted reports whether no further send is allowed.
-func (c *call) exhausted() bool {
-	runs := c.sub.maxRuns()
+func (c *call) exhausted() bool { return c.exhaustedAt(c.sub.maxRuns()) }
+
+// exhaustedAt reports whether no further send is allowed if some searchers may run the
+// sub-request.
+func (c *call) exhaustedAt(runs int) bool {
 	return c.dispatcher.stop.isReached() || len(c.sends)-c.notRun >= runs || len(c.sends) >= runs+maxNotRun
 }
 
@@ -193,7 +202,11 @@
 func (c *call) retry(ctx context.Context, result Result) {
 	refused := result.NotRun && (result.Fault == FaultRefused || result.Fault == FaultDraining)
 	notRun := refused || result.NotRun && c.sub.RetryNotRun
-	if c.running > 0 || c.exhausted() || !c.sub.Idempotent && !notRun {
+	if c.running > 0 || !c.sub.Idempotent && !notRun {
+		return
+	}
+	if c.exhausted() {
+		c.retryAwaits = c.awaitsConfirmation()
 		return
 	}
 	t := c.table
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -221,7 +221,7 @@
 	if d.stop.isReached() {
 		return stopRefusal(sub, QueueState{})
 	}
-	c := &call{dispatcher: d, table: t, sub: sub, lost: lost, results: make(chan outcome, sub.maxRuns()+maxNotRun)}
+	c := &call{dispatcher: d, table: t, sub: sub, lost: lost, results: make(chan outcome, sub.confirmedRuns()+maxNotRun)}
 	if reply, refused := c.refusal(); refused {
 		return reply
 	}
@@ -253,13 +253,6 @@
 	return load
 }
 
-func (s *SubRequest) maxRuns() int {
-	if s.MaxRuns > 0 {
-		return s.MaxRuns
-	}
-	return maxRuns
-}
-
 func notRunReply(sub SubRequest, status hysquery.ShardStatus, reason string, retryAfter time.Duration) SubReply {
 	return SubReply{
 		Shard: sub.Shard, Status: status, Version: sub.Version, Epoch: sub.Epoch,
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -55,6 +55,11 @@
 	// MaxRuns is how many searchers may run the sub-request; 0 stands for the
 	// default.
 	MaxRuns int
+	// Confirmed is closed once the instance for which this one runs the sub-request is
+	// known to wait for it. Until then that instance may have taken this one for silent
+	// and run the sub-request elsewhere, so that one searcher may run it here. nil if
+	// there is nothing to confirm.
+	Confirmed <-chan struct{}
 	// Returning marks a sub-request whose caller was refused before. It is refused
 	// again only for a longer queue.
 	Returning bool
--- a/io/hysfront/relaying.go
+++ b/io/hysfront/relaying.go
@@ -82,7 +82,7 @@
 	last := local
 	var asked hysmember.Instances
 	for round := range maxRelays {
-		if !last.NotRun && !sub.Idempotent || sub.MaxRuns <= last.PossibleRuns {
+		if !last.NotRun && !sub.Idempotent || !sub.AwaitRun(ctx, last.PossibleRuns) {
 			break
 		}
 		sub.MaxRuns -= last.PossibleRuns
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -46,6 +46,11 @@
 	// often it may have been sent to each shard before.
 	MaxAttempts  int
 	UsedAttempts int
+	// Attempts is, where the query is gathered, how many searchers of each shard may run
+	// it there; only one until Confirmed is closed, since the other instance may gather it
+	// itself. A nil Confirmed is that of an instance that confirms nothing.
+	Attempts  int
+	Confirmed <-chan struct{}
 }
 
 // DelegationResult is the answer of the instance that gathered a query.
@@ -143,7 +148,10 @@
 		return DelegationResult{}, fmt.Errorf("Ingress.Gather: %w", err)
 	}
 	w := &responseBuffer{header: make(http.Header)}
-	e := &exchange{ingress: i, writer: w, request: request, start: d.Start, delegated: true, usedAttempts: d.UsedAttempts}
+	e := &exchange{
+		ingress: i, writer: w, request: request, start: d.Start, delegated: true,
+		usedAttempts: max(d.UsedAttempts, route.MaxAttempts-d.Attempts), confirmed: d.Confirmed,
+	}
 	e.serve()
 	if e.searchersLost {
 		return DelegationResult{}, &SearchersLostError{PossibleRuns: e.possibleRuns}
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -195,6 +195,9 @@
 	delegated bool
 	// usedAttempts is how often the query may have been sent to each shard before.
 	usedAttempts int
+	// confirmed is closed once the instance that has delegated the query is known to wait
+	// for it; nil if nothing is to be confirmed.
+	confirmed <-chan struct{}
 	// searchersLost is set for a delegated query that was given up, since too few of its
 	// shards are in reach. possibleRuns is how many searchers of one shard may have run
 	// it.
@@ -326,7 +329,8 @@
 	return hysdispatch.SubRequest{
 		RequestID: e.record.ID, Fingerprint: e.fingerprint, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
-		Deadline: e.deadline, Goal: e.route.Goal, Due: e.due(), Returning: e.record.Returning, Message: e.message, MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), RetryNotRun: true,
+		Deadline: e.deadline, Goal: e.route.Goal, Due: e.due(), Returning: e.record.Returning, Message: e.message,
+		MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), Confirmed: e.confirmed, RetryNotRun: true,
 	}
 }
 
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -58,7 +58,11 @@
 		accepted = true
 		return stream.Send(&front.GatherReply{Accepted: true})
 	}
-	answer, err := s.gather(ctx, decodeDelegation(r.Msg), accept)
+	d := decodeDelegation(r.Msg)
+	confirmed, end := s.confirmations.expect(callNumber(r.Msg.Call))
+	defer end()
+	d.Confirmed = confirmed
+	answer, err := s.gather(ctx, d, accept)
 	var lost *hysingress.SearchersLostError
 	switch {
 	case err == nil:
@@ -74,8 +78,9 @@
 	}
 }
 
-// Probe answers at once, which shows that this daemon responds.
-func (s *server) Probe(context.Context, *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error) {
+// Probe answers at once, which shows that this daemon responds. It may confirm a call.
+func (s *server) Probe(_ context.Context, r *connect.Request[front.ProbeRequest]) (*connect.Response[front.ProbeReply], error) {
+	s.confirmations.confirm(callNumber(r.Msg.AcceptedCall))
 	return connect.NewResponse(&front.ProbeReply{}), nil
 }
 
@@ -83,7 +88,8 @@
 // is how much longer than a near daemon it may take to accept the query. The error wraps
 // ErrGathererLost if the daemon has accepted the query, and is a DeclinedError if it has
 // declined it, or a SearchersLostError if it has given it up. After any other error the
-// daemon is not known to have done either.
+// daemon is not known to have done either, and one searcher of each shard may run the
+// query there.
 func (c *Client) Gather(ctx context.Context, address hysmember.Address, d hysingress.Delegation, patience time.Duration) (hysingress.DelegationResult, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -91,7 +97,8 @@
 	acceptTimer := time.AfterFunc(c.acceptTimeout+patience, func() { cancel(ErrUnresponsive) })
 	defer acceptTimer.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
-	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d)))
+	number := confirmedCall(d.MaxAttempts - d.UsedAttempts)
+	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d, number)))
 	if err != nil {
 		return hysingress.DelegationResult{}, gatherError(ctx, err)
 	}
@@ -105,7 +112,10 @@
 		}
 	}
 	acceptTimer.Stop()
-	p := &prober{service: service, start: d.Start, goal: d.Goal, acceptTime: time.Since(began), patience: patience, cancel: cancel}
+	p := &prober{
+		service: service, start: d.Start, goal: d.Goal, acceptTime: time.Since(began), patience: patience, cancel: cancel,
+		call: number,
+	}
 	go p.run(ctx)
 	if !stream.Receive() {
 		return hysingress.DelegationResult{}, fmt.Errorf("%w: %w", hysingress.ErrGathererLost, gatherError(ctx, stream.Err()))
@@ -135,24 +145,48 @@
 	patience   time.Duration
 	// cancel cancels the call with ErrUnresponsive if a probe is not answered.
 	cancel context.CancelCauseFunc
+	// call is what the probes confirm; 0 if there is nothing to confirm. If heldBack is not
+	// nil they do so once it is closed: until then the call is itself part of an
+	// unconfirmed one.
+	call     callNumber
+	heldBack <-chan struct{}
+	confirms bool
+}
+
+// mayConfirm returns a channel that is closed once the call may be confirmed.
+func (p *prober) mayConfirm() <-chan struct{} {
+	switch {
+	case p.call == 0:
+		return nil
+	case p.heldBack != nil:
+		return p.heldBack
+	}
+	now := make(chan struct{})
+	close(now)
+	return now
 }
 
-// run probes the daemon until the context ends.
+// run confirms the call and probes the daemon until the context ends.
 func (p *prober) run(ctx context.Context) {
 	interval := max(time.Duration(probeGoalShare*float64(p.goal)), minProbeTimeout)
 	timeout := max(minProbeTimeout, time.Duration(probeTimeoutShare*float64(p.goal)), probeAcceptFactor*p.acceptTime, probePatienceFactor*p.patience)
 	timer := time.NewTimer(max(interval-time.Since(p.start), minProbeTimeout))
 	defer timer.Stop()
+	mayConfirm := p.mayConfirm()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-mayConfirm:
+			mayConfirm = nil
+			p.confirms = true
+			// One that is lost is repeated by the next probe, which decides whether the
+			// daemon responds.
+			_ = p.probe(ctx, timeout)
+			continue
 		case <-timer.C:
 		}
-		probeCtx, stop := context.WithTimeout(ctx, timeout)
-		_, err := p.service.Probe(probeCtx, connect.NewRequest(&front.ProbeRequest{}))
-		stop()
-		if err != nil {
+		if err := p.probe(ctx, timeout); err != nil {
 			p.cancel(ErrUnresponsive)
 			return
 		}
@@ -160,6 +194,20 @@
 	}
 }
 
+// probe asks the daemon whether it responds.
+func (p *prober) probe(ctx context.Context, timeout time.Duration) error {
+	ctx, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	request := &front.ProbeRequest{}
+	if p.confirms {
+		request.AcceptedCall = uint64(p.call)
+	}
+	if _, err := p.service.Probe(ctx, connect.NewRequest(request)); err != nil {
+		return fmt.Errorf("probe: %w", err)
+	}
+	return nil
+}
+
 // gatherError returns why a gatherer has not answered.
 func gatherError(ctx context.Context, err error) error {
 	switch {
@@ -180,23 +228,28 @@
 	return connect.CodeOf(err) == connect.CodeInternal && errors.Is(err, proto.Error)
 }
 
-func encodeDelegation(d hysingress.Delegation) *front.GatherRequest {
+func encodeDelegation(d hysingress.Delegation, number callNumber) *front.GatherRequest {
 	return &front.GatherRequest{
 		Method: d.Message.Method, Target: []byte(d.Message.Target), Host: []byte(d.Message.Host),
 		Header: encodeHeader(d.Message.Header), Body: d.Message.Body,
 		ElapsedUs: time.Since(d.Start).Microseconds(), Configuration: int64(d.Configuration),
-		UsedAttempts: int32(d.UsedAttempts),
+		UsedAttempts: int32(max(d.UsedAttempts, d.MaxAttempts-1)), Call: uint64(number), Attempts: int32(d.MaxAttempts - d.UsedAttempts),
 	}
 }
 
 func decodeDelegation(r *front.GatherRequest) hysingress.Delegation {
+	usedAttempts, attempts := max(int(r.UsedAttempts), 0), 1
+	if r.Call != 0 {
+		usedAttempts, attempts = 0, max(int(r.Attempts), 1)
+	}
 	return hysingress.Delegation{
 		Message: &hysmessage.Request{
 			Method: r.Method, Target: string(r.Target), Host: string(r.Host), Header: decodeHeader(r.Header), Body: r.Body,
 		},
 		Start:         time.Now().Add(-time.Duration(max(r.ElapsedUs, 0)) * time.Microsecond),
 		Configuration: hysroute.Version(r.Configuration),
-		UsedAttempts:  max(int(r.UsedAttempts), 0),
+		UsedAttempts:  usedAttempts,
+		Attempts:      attempts,
 	}
 }
 
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -102,6 +102,8 @@
 	gather  GatherFunc
 	run     RunFunc
 	permits PermitsFunc
+	// confirmations are those of the calls that run here.
+	confirmations confirmations
 }
 
 // NewHandler returns a handler of the calls of other daemons: follow answers
@@ -109,7 +111,11 @@
 // answers requests for permits.
 func NewHandler(follow FollowFunc, gather GatherFunc, run RunFunc, permits PermitsFunc) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(frontconnect.NewFrontServiceHandler(&server{follow: follow, gather: gather, run: run, permits: permits}, connect.WithReadMaxBytes(maxRequestBytes)))
+	s := &server{
+		follow: follow, gather: gather, run: run, permits: permits,
+		confirmations: confirmations{pending: make(map[callNumber]chan struct{})},
+	}
+	mux.Handle(frontconnect.NewFrontServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
--- a/io/hysrelay/run.go
+++ b/io/hysrelay/run.go
@@ -41,6 +41,11 @@
 // together, afterwards each as soon as it is there.
 func (s *server) Run(ctx context.Context, r *connect.Request[front.RunRequest], stream *connect.ServerStream[front.RunReply]) error {
 	subs := decodeRun(r.Msg)
+	confirmed, end := s.confirmations.expect(callNumber(r.Msg.Call))
+	defer end()
+	for i := range subs {
+		subs[i].Confirmed = confirmed
+	}
 	accept := func() error { return stream.Send(&front.RunReply{Accepted: true}) }
 	results, err := s.run(ctx, subs, accept)
 	if err != nil {
@@ -91,7 +96,9 @@
 // Run lets a daemon run sub-requests of one request, and calls deliver for each reply.
 // The daemon cancels them when the context ends. The error is a DeclinedError if it has
 // not accepted them, and wraps ErrGathererLost if it has, and gives no more replies, or
-// ErrNotUnderstood if they were not sent or not read. After any other error it is not known to have done either.
+// ErrNotUnderstood if they were not sent or not read. After any other error it is not known
+// to have done either, and one searcher may run each sub-request there. All sub-requests
+// are confirmed at the same time.
 func (c *Client) Run(ctx context.Context, address hysmember.Address, subs []hysdispatch.SubRequest, o RunOptions, deliver func(RunResult)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -99,7 +106,8 @@
 	acceptTimer := time.AfterFunc(c.acceptTimeout+o.Patience, func() { cancel(ErrUnresponsive) })
 	defer acceptTimer.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
-	stream, err := service.Run(ctx, connect.NewRequest(encodeRun(subs, o.Margin)))
+	number := callOf(subs)
+	stream, err := service.Run(ctx, connect.NewRequest(encodeRun(subs, o.Margin, number)))
 	if err != nil {
 		return gatherError(ctx, err)
 	}
@@ -111,7 +119,10 @@
 		return &hysingress.DeclinedError{Reason: first.Reason, RetryAfter: time.Duration(first.RetryAfterUs) * time.Microsecond}
 	}
 	acceptTimer.Stop()
-	p := &prober{service: service, start: began, goal: subs[0].Goal, acceptTime: time.Since(began), patience: o.Patience, cancel: cancel}
+	p := &prober{
+		service: service, start: began, goal: subs[0].Goal, acceptTime: time.Since(began), patience: o.Patience, cancel: cancel,
+		call: number, heldBack: subs[0].Confirmed,
+	}
 	if p.goal == 0 {
 		p.goal = probeWithoutGoal
 	}
@@ -132,20 +143,29 @@
 	return nil
 }
 
-func encodeRun(subs []hysdispatch.SubRequest, margin time.Duration) *front.RunRequest {
+// callOf returns the number of a call with some sub-requests.
+func callOf(subs []hysdispatch.SubRequest) callNumber {
+	attempts := 0
+	for _, sub := range subs {
+		attempts = max(attempts, sub.MaxRuns)
+	}
+	return confirmedCall(attempts)
+}
+
+func encodeRun(subs []hysdispatch.SubRequest, margin time.Duration, number callNumber) *front.RunRequest {
 	first := subs[0]
 	r := &front.RunRequest{
 		RequestId: []byte(first.RequestID), Method: first.Message.Method, Target: []byte(first.Message.Target), Host: []byte(first.Message.Host),
 		Header: encodeHeader(first.Message.Header), Body: first.Message.Body,
 		Group: string(first.Group), Weight: first.Weight, Class: int32(first.Class),
 		Idempotent: first.Idempotent, Returning: first.Returning, RetryNotRun: first.RetryNotRun,
-		RemainingUs: time.Until(first.Deadline).Microseconds(), GoalUs: first.Goal.Microseconds(),
+		RemainingUs: time.Until(first.Deadline).Microseconds(), GoalUs: first.Goal.Microseconds(), Call: uint64(number),
 	}
 	if !first.Due.IsZero() {
 		r.DueUs = max(time.Until(first.Due)-margin, time.Microsecond).Microseconds()
 	}
 	for _, sub := range subs {
-		r.Parts = append(r.Parts, &front.RunPart{Service: string(sub.Service), MaxRuns: int32(sub.MaxRuns)})
+		r.Parts = append(r.Parts, &front.RunPart{Service: string(sub.Service), MaxRuns: 1, ConfirmedRuns: int32(sub.MaxRuns)})
 	}
 	return r
 }
@@ -167,7 +187,10 @@
 	subs := make([]hysdispatch.SubRequest, 0, len(r.Parts))
 	for _, p := range r.Parts[:min(len(r.Parts), maxParts)] {
 		sub := common
-		sub.Service, sub.MaxRuns = hysservice.Name(p.Service), max(int(p.MaxRuns), 1)
+		sub.Service, sub.MaxRuns = hysservice.Name(p.Service), 1
+		if r.Call != 0 {
+			sub.MaxRuns = max(int(p.ConfirmedRuns), 1)
+		}
 		subs = append(subs, sub)
 	}
 	return subs
