The runs of all daemons that were asked count (BUDGET)

A sub-request that two daemons were asked to relay, or that was started here before its searchers were lost, was reported with the possible runs of the last daemon alone, and one that was given up while another daemon ran it with none. A query that goes back then got an attempt more than its route allows.

Fix: each reply states all possible runs, those before it included; one that is given up while another daemon runs it counts all that this one might use. Replies of a build before, which states them for unreachable sub-requests only, count their sends.

--- a/core/hysdispatch/call.go
+++ b/core/hysdispatch/call.go
@@ -60,6 +60,7 @@
 	c.dequeue()
 	c.endSends(ctx, cancel)
 	reply.Sends = c.startedSends()
+	reply.PossibleRuns = reply.Sends - c.notRun
 	return reply
 }
 
--- a/core/hysdispatch/reach.go
+++ b/core/hysdispatch/reach.go
@@ -86,7 +86,6 @@
 	}
 	reply := UnreachableReply(c.sub)
 	reply.NotRun, reply.Searcher = !c.mayHaveRun && c.running == 0, c.searcher
-	reply.PossibleRuns = c.startedSends() - c.notRun
 	return reply
 }
 
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -91,8 +91,7 @@
 	// Unreachable is set if this instance reaches no searcher of the service. Another
 	// instance may.
 	Unreachable bool
-	// PossibleRuns is how many searchers may have run the sub-request, in a reply that
-	// is Unreachable.
+	// PossibleRuns is how many searchers may have run the sub-request.
 	PossibleRuns int
 	// RelayedTo is the instance that ran the sub-request, if it was another one.
 	RelayedTo hysmember.InstanceID
--- a/io/hysfront/relaying.go
+++ b/io/hysfront/relaying.go
@@ -85,13 +85,15 @@
 		if !last.NotRun && !sub.Idempotent || !sub.AwaitRun(ctx, last.PossibleRuns) {
 			break
 		}
-		sub.MaxRuns -= last.PossibleRuns
-		reply, to, ok := b.run(ctx, round, sub, asked)
+		rest := sub
+		rest.MaxRuns -= last.PossibleRuns
+		reply, to, ok := b.run(ctx, round, rest, asked)
 		if !ok {
 			break
 		}
 		asked = append(asked, to)
 		reply.Sends, reply.NotRun = reply.Sends+last.Sends, reply.NotRun && last.NotRun
+		reply.PossibleRuns += last.PossibleRuns
 		if reply.Message != nil {
 			reply.NotRun = false
 		}
@@ -117,6 +119,7 @@
 	case <-ctx.Done():
 		return hysdispatch.SubReply{
 			Shard: sub.Shard, Status: hysquery.ShardTimeout, Reason: "no other instance answered in time", RelayedTo: to.ID,
+			PossibleRuns: sub.MaxRuns,
 		}, to, true
 	}
 }
--- a/io/hysingress/query.go
+++ b/io/hysingress/query.go
@@ -143,7 +143,7 @@
 func (e *exchange) giveUp(result hysgather.DirectFanOutResult) bool {
 	runs := 0
 	for _, reply := range result.Replies {
-		runs = max(runs, reply.PossibleRuns, possibleRuns(reply))
+		runs = max(runs, reply.PossibleRuns)
 		e.recordSends(reply)
 	}
 	if e.delegated {
@@ -155,19 +155,10 @@
 	return false
 }
 
-// possibleRuns returns how many searchers may have run a sub-request that has another
-// reply than that its searchers are out of reach.
-func possibleRuns(reply hysdispatch.SubReply) int {
-	if reply.NotRun || reply.Unreachable {
-		return 0
-	}
-	return reply.Sends
-}
-
 // recordSends records how often a sub-request was sent, and may have run.
 func (e *exchange) recordSends(reply hysdispatch.SubReply) {
 	e.record.Sends += reply.Sends
-	e.record.MaxShardRuns = max(e.record.MaxShardRuns, reply.PossibleRuns, possibleRuns(reply))
+	e.record.MaxShardRuns = max(e.record.MaxShardRuns, reply.PossibleRuns)
 }
 
 // recordRelay records that another instance has run a sub-request.
--- a/io/hysrelay/run.go
+++ b/io/hysrelay/run.go
@@ -229,6 +229,10 @@
 		NotRun: r.NotRun, Unreachable: r.Unreachable, Searcher: hysmember.SearcherID(r.Searcher), Sends: max(int(r.Sends), 0),
 		PossibleRuns: max(int(r.PossibleRuns), 0),
 	}
+	if reply.PossibleRuns == 0 && !reply.NotRun && !reply.Unreachable {
+		// A build before states the possible runs of unreachable sub-requests only.
+		reply.PossibleRuns = reply.Sends
+	}
 	if hasMessage {
 		reply.Message = &hysmessage.Response{Status: int(r.MessageStatus), Header: decodeHeader(r.Header), Body: r.Body}
 	}
