A daemon that hears of a limit first by an unusable value asks for the known one (LIMIT)

Fix: it asks for no permits; the grant holds the limit that others know, and takes force. It asks again with a later such answer, at most one ask each minAskInterval.

Evidence: TestUnusableLimit and 'asks for the limit of a searcher that states an unusable one' fail without the mechanism.

--- a/core/hysdispatch/limit.go
+++ b/core/hysdispatch/limit.go
@@ -43,6 +43,11 @@
 			r.limitMeter(now).Fail(now)
 		}
 	}
+	if result.Limit.Kind == hyslimit.StatementInvalid && meter.Pending(0) {
+		// Others may know the limit.
+		t.hasLimits.Store(true)
+		t.needPermits()
+	}
 	if change == hyslimit.ChangeNone && result.Limit.Problem == "" {
 		return
 	}
@@ -228,8 +233,8 @@
 	defer func() { t.hasLimits.Store(limited) }()
 	for _, r := range t.replicas {
 		meter, waiting := r.limitMeter(now), r.waiting()
-		limited = limited || meter.Limit().Limited
 		ask, ok := meter.Ask(now, waiting)
+		limited = limited || meter.Limit().Limited || meter.Pending(waiting)
 		if !ok {
 			pending = pending || meter.Pending(waiting)
 			continue
--- a/core/hysdispatch/limit_test.go
+++ b/core/hysdispatch/limit_test.go
@@ -245,3 +245,25 @@
 		})
 	}
 }
+
+// TestUnusableLimit guards against sends without a limit to a searcher whose limit only
+// other instances know, since it states one here that can't be used.
+func TestUnusableLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		needed := 0
+		send := func(context.Context, hysmember.Searcher, hysdispatch.SubRequest) hysdispatch.Result {
+			return hysdispatch.Result{Limit: hyslimit.ParseStatement([]string{"NaN"})}
+		}
+		d := hysdispatch.New(send, hysdispatch.WithPermits(func() { needed++ }, func() int { return 2 }))
+		d.SetReplicas(service, replicas(1), 2)
+		g.Expect(d.Submit(context.Background(), subRequest("r", time.Second)).Status).To(gomega.Equal(hysquery.ShardAnswered))
+		g.Expect(needed).To(gomega.BeNumerically(">", 0), "permits are needed")
+		asks, _ := d.LimitAsks()
+		g.Expect(asks).To(gomega.HaveLen(1))
+		known := hyslimit.Limit{Limited: true, Rate: 8, LearnedAt: time.Now()}
+		d.ApplyGrant(asks[0], time.Now(), hyslimit.Grant{Searcher: "s-0", Limit: known}, true)
+		g.Expect(d.LimitedSearchers()).To(gomega.HaveLen(1))
+		time.Sleep(workersEnd)
+	})
+}
--- a/core/hyslimit/meter.go
+++ b/core/hyslimit/meter.go
@@ -35,6 +35,9 @@
 	// askedAt is when permits were last asked for, askAt when they may be again.
 	askedAt time.Time
 	askAt   time.Time
+	// unknown is set while the searcher states a limit that can't be used and none is
+	// known, until the allocator was asked for the one that others know.
+	unknown bool
 	// reportLifted is set until the allocator was told that the limit is lifted.
 	reportLifted bool
 	// sends and heldBack count since the limit was learned.
@@ -61,6 +64,7 @@
 // Record applies what a response that arrived now states, where sentAt is when its
 // request was sent, and returns what has changed.
 func (m *Meter) Record(now, sentAt time.Time, s Statement) Change {
+	m.unknown = s.Kind == StatementInvalid && !m.limit.Limited
 	return m.replace(m.limit.record(now, sentAt, s))
 }
 
@@ -169,7 +173,11 @@
 		m.reportLifted = false
 		return Ask{Limit: m.limit}, true
 	}
-	if !m.Pending(waiting) || now.Before(m.nextAsk(waiting)) {
+	if m.unknown && !now.Before(m.askAt) {
+		m.unknown, m.askAt = false, now.Add(minAskInterval)
+		return Ask{Limit: m.limit}, true
+	}
+	if !m.limit.Limited || !m.Pending(waiting) || now.Before(m.nextAsk(waiting)) {
 		return Ask{}, false
 	}
 	m.wanted = max(m.needed+waiting-m.validPermits(now), 1)
@@ -182,7 +190,7 @@
 
 // Pending reports whether permits are to be asked for, now or later.
 func (m *Meter) Pending(waiting int) bool {
-	return m.reportLifted || m.limit.Limited && m.needed+waiting > 0
+	return m.reportLifted || m.unknown || m.limit.Limited && m.needed+waiting > 0
 }
 
 // nextAsk returns when permits may be asked for: earlier than usual if sends wait, or
--- a/core/hyslimit/meter_test.go
+++ b/core/hyslimit/meter_test.go
@@ -82,4 +82,31 @@
 			}
 		})
 	}
+
+	// Guards against sends without a limit to a searcher whose limit only others know.
+	It("asks for the limit of a searcher that states an unusable one, as often as asks are allowed", func() {
+		m, now := hyslimit.NewMeter(), time.Unix(1000, 0)
+		unusable := hyslimit.ParseStatement([]string{"NaN"})
+		m.Record(now, now, unusable)
+		ask, ok := m.Ask(now, 0)
+		Expect(ok).To(BeTrue())
+		Expect(ask).To(Equal(hyslimit.Ask{}))
+		m.Record(now, now, unusable)
+		_, ok = m.Ask(now.Add(time.Millisecond), 0)
+		Expect(ok).To(BeFalse())
+		_, ok = m.Ask(now.Add(time.Second), 0)
+		Expect(ok).To(BeTrue())
+		known := hyslimit.Limit{Limited: true, Rate: 8, LearnedAt: now}
+		Expect(m.Apply(now, now, hyslimit.Grant{Limit: known})).To(Equal(hyslimit.ChangeLearned))
+		Expect(m.Ready(now)).To(BeFalse())
+		m.Record(now, now, unusable)
+		Expect(m.Limit()).To(Equal(known))
+	})
+
+	It("asks for nothing once the searcher states that it has no limit", func() {
+		m, now := hyslimit.NewMeter(), time.Unix(1000, 0)
+		m.Record(now, now, hyslimit.ParseStatement([]string{"NaN"}))
+		m.Record(now, now, hyslimit.ParseStatement(nil))
+		Expect(m.Pending(0)).To(BeFalse())
+	})
 })
