--- a/io/hysfront/observe.go
+++ b/io/hysfront/observe.go
@@ -73,7 +73,7 @@
 	log.Log(context.Background(), level, "request "+r.Outcome.String(),
 		"id", r.ID, "route", r.Route, "service", r.Service, "configuration", r.Configuration,
 		"status", r.Status, "reason", r.Reason, "ms", r.Latency.Milliseconds(), "goal-ms", r.Goal.Milliseconds(), "allowed-ms", r.Allowed.Milliseconds(), "returning", r.Returning,
-		"shards", r.Shards, "answered", r.Answered, "missing", r.Missing, "sends", r.Sends, "max-shard-runs", r.MaxShardRuns, "used-attempts", r.UsedAttempts, "max-attempts", r.MaxAttempts, "searcher", r.Searcher, "gathered-by", r.GatheredBy, "for-another", r.Delegated, "relayed", r.Relayed, "relayed-to", r.RelayedTo,
+		"shards", r.Shards, "answered", r.Answered, "missing", r.Missing, "sends", r.Sends, "max-shard-runs", r.MaxShardRuns, "used-attempts", r.UsedAttempts, "max-attempts", r.MaxAttempts, "searcher", r.Searcher, "gathered-by", r.GatheredBy, "for-another", r.Delegated, "confirmed", r.Confirmed, "relayed", r.Relayed, "relayed-to", r.RelayedTo,
 		"retry-after-ms", r.RetryAfter.Milliseconds())
 }
 
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -161,6 +161,17 @@
 	}, nil
 }
 
+// isConfirmed reports whether the instance that has delegated the query is known to wait
+// for it.
+func (e *exchange) isConfirmed() bool {
+	select {
+	case <-e.confirmed:
+		return true
+	default:
+		return false
+	}
+}
+
 // request returns the query as an HTTP request of its caller.
 func (d Delegation) request(ctx context.Context) *http.Request {
 	m := d.Message
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -112,8 +112,10 @@
 	Queue hysdispatch.QueueState
 	// GatheredBy is the instance to which the query was delegated, if it was.
 	GatheredBy string
-	// Delegated is set in the gatherer's record of a delegated query.
+	// Delegated is set in the gatherer's record of a delegated query, and Confirmed if its
+	// entry instance has confirmed that it waits for it.
 	Delegated bool
+	Confirmed bool
 	// Relayed is the number of sub-requests that another instance ran, RelayedTo the
 	// last such instance.
 	Relayed   int
@@ -220,7 +222,7 @@
 	if e.prepare() && e.readBody() {
 		e.run(e.request.Context())
 	}
-	e.record.Latency = time.Since(e.start)
+	e.record.Latency, e.record.Confirmed = time.Since(e.start), e.isConfirmed()
 	e.ingress.Observe(e.record)
 }
 
