A query that is gathered again counts as an extra send, not as a request (BUDGET)

A daemon that gathers a query itself after a silent gatherer may have sent it to each shard counted it as a first request, which earned it a fifth of another retry, and the repeat was in no budget.

Fix: sub-requests that may have been sent before say so. They are counted as extra sends; they are made whatever the budget holds, since the caller would only repeat the query, but hedges and retries are held back for them.

Evidence: 'marks what may have been sent before', 'marks a query that is gathered after a silent gatherer may have run it', TestRepeatedSubRequest.

--- a/core/hysbudget/budget.go
+++ b/core/hysbudget/budget.go
@@ -115,8 +115,15 @@
 	return true
 }
 
+// Spend counts an extra send that is made whatever remains.
+func (b *Budget) Spend() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.currentBucket().extraSends++
+}
+
 // Remaining returns how many extra sends are allowed now. It may be negative after
-// the slack was lowered.
+// the slack was lowered, or after Spend.
 func (b *Budget) Remaining() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/hysdispatch/confirm_test.go
+++ b/core/hysdispatch/confirm_test.go
@@ -92,3 +92,24 @@
 		t.Run(script.Name, func(t *testing.T) { synctest.Test(t, script.run) })
 	}
 }
+
+// TestRepeatedSubRequest guards against repeats that no budget counts: one that may have
+// been sent before is an extra send, and allows none.
+func TestRepeatedSubRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		var budget *hysbudget.Budget
+		d := hysdispatch.New(func(context.Context, hysmember.Searcher, hysdispatch.SubRequest) hysdispatch.Result {
+			return hysdispatch.Result{}
+		}, hysdispatch.WithBudget(func(hysservice.Name) *hysbudget.Budget {
+			budget = hysbudget.New(1, 3)
+			return budget
+		}))
+		d.SetReplicas(service, replicas(2), 2)
+		sub := subRequest("r", time.Second)
+		sub.Repeated = true
+		g.Expect(d.Submit(context.Background(), sub).Status).To(gomega.Equal(hysquery.ShardAnswered))
+		g.Expect(budget.Remaining()).To(gomega.BeEquivalentTo(2))
+		time.Sleep(workersEnd)
+	})
+}
--- a/core/hysdispatch/dispatcher.go
+++ b/core/hysdispatch/dispatcher.go
@@ -225,7 +225,11 @@
 	if reply, refused := c.refusal(); refused {
 		return reply
 	}
-	t.budget.AddRequest()
+	if sub.Repeated {
+		t.budget.Spend()
+	} else {
+		t.budget.AddRequest()
+	}
 	return c.run(ctx)
 }
 
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -60,6 +60,9 @@
 	// and run the sub-request elsewhere, so that one searcher may run it here. nil if
 	// there is nothing to confirm.
 	Confirmed <-chan struct{}
+	// Repeated marks a sub-request that may have been sent to a searcher before, by this
+	// instance or another one. It counts as an extra send and allows no others.
+	Repeated bool
 	// Returning marks a sub-request whose caller was refused before. It is refused
 	// again only for a longer queue.
 	Returning bool
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -151,6 +151,7 @@
 	e := &exchange{
 		ingress: i, writer: w, request: request, start: d.Start, delegated: true,
 		usedAttempts: max(d.UsedAttempts, route.MaxAttempts-d.Attempts), confirmed: d.Confirmed,
+		repeated: d.UsedAttempts > 0 || d.Confirmed != nil && d.Attempts < route.MaxAttempts,
 	}
 	e.serve()
 	if e.searchersLost {
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -200,6 +200,8 @@
 	// confirmed is closed once the instance that has delegated the query is known to wait
 	// for it; nil if nothing is to be confirmed.
 	confirmed <-chan struct{}
+	// repeated is set for a delegated query that may have been sent to the shards before.
+	repeated bool
 	// searchersLost is set for a delegated query that was given up, since too few of its
 	// shards are in reach. possibleRuns is how many searchers of one shard may have run
 	// it.
@@ -332,10 +334,18 @@
 		RequestID: e.record.ID, Fingerprint: e.fingerprint, Group: hysgroup.Name(e.route.Name), Weight: 1,
 		Service: service, Class: e.route.Class, Idempotent: e.route.Idempotent, Proven: true,
 		Deadline: e.deadline, Goal: e.route.Goal, Due: e.due(), Returning: e.record.Returning, Message: e.message,
-		MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), Confirmed: e.confirmed, RetryNotRun: true,
+		MaxRuns: max(e.route.MaxAttempts-e.usedAttempts, 1), Confirmed: e.confirmed, Repeated: e.isRepeated(), RetryNotRun: true,
 	}
 }
 
+// isRepeated reports whether the request may have been sent to searchers before.
+func (e *exchange) isRepeated() bool {
+	if e.delegated {
+		return e.repeated
+	}
+	return e.usedAttempts > 0
+}
+
 // due returns when the answer must be sent to meet the goal of the request. It is
 // the same for all shards of a query.
 func (e *exchange) due() time.Time {
--- a/io/hysingress/ingress_test.go
+++ b/io/hysingress/ingress_test.go
@@ -43,6 +43,8 @@
 			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, MinCoverage: 0.6},
 		{Name: "few", Host: "127.0.0.1", Prefix: "/few/", Idempotent: true, Timeout: 2 * time.Second, Goal: 150 * time.Millisecond,
 			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, MinCoverage: 0.3},
+		{Name: "two", Host: "127.0.0.1", Prefix: "/two/", Idempotent: true, Timeout: 2 * time.Second, Goal: 150 * time.Millisecond, MaxAttempts: 2,
+			Shards: []hysservice.Name{"d1", "d2", "d3"}, TopK: 2, MinCoverage: 0.3},
 	}, nil, hysroute.Limits{HeaderBytes: 4000, BodyBytes: 1000})
 	return c
 }
@@ -281,6 +283,43 @@
 		Expect(gather(f)).To(Succeed())
 	})
 
+	// Guards against budgets that take the repeat of a query for a request.
+	DescribeTable("marks what may have been sent before", func(d hysingress.Delegation, repeated bool) {
+		f := newIngress(requestCase{})
+		subs := make(chan hysdispatch.SubRequest, 3)
+		f.ingress.Submit = func(_ context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
+			subs <- sub
+			return hysdispatch.SubReply{Status: hysquery.ShardFailed}
+		}
+		d.Start = time.Now()
+		d.Message = &hysmessage.Request{Method: http.MethodGet, Target: "/two/7", Host: "127.0.0.1", Header: http.Header{"X-Id": {"r-1"}}}
+		_, err := f.ingress.Gather(context.Background(), d, func([]hysservice.Name) error { return nil })
+		Expect(err).NotTo(HaveOccurred())
+		Expect((<-subs).Repeated).To(Equal(repeated))
+	},
+		Entry("not a first attempt", hysingress.Delegation{Attempts: 2, Confirmed: make(chan struct{})}, false),
+		Entry("one with fewer attempts than its route has", hysingress.Delegation{Attempts: 1, Confirmed: make(chan struct{})}, true),
+		Entry("the last attempt", hysingress.Delegation{Attempts: 1, UsedAttempts: 1}, true),
+		Entry("not the first one of a build that confirms nothing", hysingress.Delegation{Attempts: 1}, false),
+	)
+
+	It("marks a query that is gathered after a silent gatherer may have run it", func() {
+		f := newIngress(requestCase{})
+		subs := make(chan hysdispatch.SubRequest, 3)
+		f.ingress.Delegate = func(context.Context, hysingress.Delegation) (hysingress.DelegationResult, int, error) {
+			return hysingress.DelegationResult{}, 1, errors.New("silent")
+		}
+		f.ingress.Submit = func(_ context.Context, sub hysdispatch.SubRequest) hysdispatch.SubReply {
+			subs <- sub
+			return hysdispatch.SubReply{Status: hysquery.ShardFailed}
+		}
+		r := httptest.NewRequest(http.MethodGet, "/two/7", nil)
+		r.Host = "127.0.0.1"
+		r.Header.Set("X-Id", "r-1")
+		f.ingress.ServeHTTP(httptest.NewRecorder(), r)
+		Expect(<-subs).To(And(HaveField("Repeated", true), HaveField("MaxRuns", 1)))
+	})
+
 	It("cancels the sub-requests of a caller that has disconnected", func() {
 		c := requestCase{Path: "/all/7", Replies: map[hysservice.Name]scriptedReply{"d1": {Status: 200, AfterMS: 1500}, "d2": {Status: 200, AfterMS: 1500}}}
 		f := newFixture(c)
