The instance that runs relayed sub-requests logs them by the request's id; one type for a confirmation

An on-call engineer could follow a delegated query from its id to both daemons, but not a relayed sub-request: the daemon that ran it logged nothing, so that its runs could not be added up. It logs one line a call now, with the possible runs of a shard and whether the call was confirmed; attempts_test.go expects it, and the line of a gatherer, in all three scripts. Nothing decides by it.

Read as a newcomer: the state of a confirmation stood three times as a channel with a select of its own; it is hysdispatch.Confirmation. confirmedCall and callOf are numberForAttempts and numberForParts. runCounts and shardRuns of the tests did the same; one is left.

--- a/core/hysdispatch/confirm.go
+++ b/core/hysdispatch/confirm.go
@@ -6,17 +6,26 @@
 // have taken this one for silent. That instance counts as many runs.
 const unconfirmedRuns = 1
 
-// isConfirmed reports whether the instance for which the sub-request runs is known to wait
-// for it.
-func (s *SubRequest) isConfirmed() bool {
+// Confirmation is closed once the instance for which this one runs something is known to
+// wait for it. nil if nothing is confirmed.
+type Confirmation <-chan struct{}
+
+// IsReceived reports whether it is closed.
+func (c Confirmation) IsReceived() bool {
 	select {
-	case <-s.Confirmed:
+	case <-c:
 		return true
 	default:
-		return s.Confirmed == nil
+		return false
 	}
 }
 
+// isConfirmed reports whether the instance for which the sub-request runs is known to wait
+// for it.
+func (s *SubRequest) isConfirmed() bool {
+	return s.Confirmed == nil || s.Confirmed.IsReceived()
+}
+
 // maxRuns returns how many searchers may run the sub-request by now.
 func (s *SubRequest) maxRuns() int {
 	if !s.isConfirmed() {
--- a/core/hysdispatch/subrequest.go
+++ b/core/hysdispatch/subrequest.go
@@ -55,11 +55,10 @@
 	// MaxRuns is how many searchers may run the sub-request; 0 stands for the
 	// default.
 	MaxRuns int
-	// Confirmed is closed once the instance for which this one runs the sub-request is
-	// known to wait for it. Until then that instance may have taken this one for silent
-	// and run the sub-request elsewhere, so that one searcher may run it here. nil if
-	// there is nothing to confirm.
-	Confirmed <-chan struct{}
+	// Confirmed is that of the instance for which this one runs the sub-request; nil if
+	// nothing has to be confirmed. Before it that instance may have taken this one for
+	// silent and run the sub-request elsewhere, so that one searcher may run it here.
+	Confirmed Confirmation
 	// Repeated marks a sub-request that may have been sent to a searcher before, by this
 	// instance or another one. It counts as an extra send and allows no others.
 	Repeated bool
--- a/io/hysfront/attempts_test.go
+++ b/io/hysfront/attempts_test.go
@@ -44,37 +44,16 @@
 	Gatherers bool `json:"gatherers"`
 	// Cut are the services from whose searchers the daemon is cut off.
 	Cut []hysservice.Name `json:"cut"`
-	// Expected is logged by the daemon if the script has had its effect.
-	Expected string `json:"expected"`
-}
-
-// shardRuns counts the runs of each request at each shard.
-type shardRuns struct {
-	mu     sync.Mutex
-	counts map[string]int
-}
-
-func (r *shardRuns) add(service hysservice.Name, id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.counts[string(service)+" "+id]++
-}
-
-// all returns the number of runs by shard and request.
-func (r *shardRuns) all() map[string]int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	all := make(map[string]int, len(r.counts))
-	for key, count := range r.counts {
-		all[key] = count
-	}
-	return all
+	// Expected is logged by the daemon if the script has had its effect, ExpectedElsewhere
+	// by one of the others.
+	Expected          string `json:"expected"`
+	ExpectedElsewhere string `json:"expected-elsewhere"`
 }
 
 // busySearcher is a searcher that takes its time and counts what it runs.
-func (r *shardRuns) busySearcher(id hysmember.SearcherID, service hysservice.Name, work func() time.Duration) hysmember.Entry {
+func busySearcher(id hysmember.SearcherID, service hysservice.Name, work func() time.Duration, runs *runCounts) hysmember.Entry {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		r.add(service, request.Header.Get(headers.RequestID))
+		runs.add(string(service) + " " + request.Header.Get(headers.RequestID))
 		select {
 		case <-time.After(work()):
 		case <-request.Context().Done():
@@ -96,7 +75,7 @@
 	entry   *linkedDaemon
 	daemons []*linkedDaemon
 	ways    []*hystest.Proxy
-	runs    *shardRuns
+	runs    *runCounts
 	// lost are the services from whose searchers the first daemon is cut off.
 	lost []hysservice.Name
 }
@@ -104,12 +83,12 @@
 // newAttemptFleet starts daemons whose addresses begin with a prefix. If gatherers is set
 // the first one gathers no queries.
 func newAttemptFleet(prefix string, gatherers bool, work func() time.Duration) *attemptFleet {
-	f := &attemptFleet{runs: &shardRuns{counts: make(map[string]int)}}
+	f := &attemptFleet{runs: &runCounts{counts: make(map[string]int)}}
 	shards := []hysservice.Name{"desk", "ledger"}
 	var searchers hysmember.Entries
 	for _, service := range shards {
 		for n := range 4 {
-			searchers = append(searchers, f.runs.busySearcher(hysmember.SearcherID(fmt.Sprint(service, "-", n)), service, work))
+			searchers = append(searchers, busySearcher(hysmember.SearcherID(fmt.Sprint(service, "-", n)), service, work, f.runs))
 		}
 	}
 	var daemons []*linkedDaemon
@@ -183,6 +162,15 @@
 	}
 }
 
+// logsElsewhere returns the logs of the other daemons.
+func (f *attemptFleet) logsElsewhere() string {
+	var logs strings.Builder
+	for _, d := range f.daemons[1:] {
+		logs.WriteString(d.log.String())
+	}
+	return logs.String()
+}
+
 // expectAttempts checks that no shard has run a request more often than its route allows.
 func (f *attemptFleet) expectAttempts() {
 	for key, count := range f.runs.all() {
@@ -211,6 +199,7 @@
 			f.query("second")
 			time.Sleep(attemptsSettle)
 			Expect(f.entry.log.String()).To(ContainSubstring(script.Expected))
+			Expect(f.logsElsewhere()).To(ContainSubstring(script.ExpectedElsewhere))
 			f.expectAttempts()
 		})
 	}
--- a/io/hysfront/partition_test.go
+++ b/io/hysfront/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -57,6 +58,13 @@
 	return r.counts[id]
 }
 
+// all returns the counts of all requests.
+func (r *runCounts) all() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.counts)
+}
+
 // remoteSearcher is a searcher that each daemon reaches over a link of its own.
 func remoteSearcher(id hysmember.SearcherID, service hysservice.Name, work time.Duration, runs *runCounts) hysmember.Entry {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/io/hysfront/relaying.go
+++ b/io/hysfront/relaying.go
@@ -233,13 +233,44 @@
 	}
 	f.metrics.ObserveRelay("for-another", len(subs))
 	results := make(chan hysrelay.RunResult, len(subs))
+	go f.runAll(ctx, subs, results)
+	return results, nil
+}
+
+// runAll runs sub-requests of another daemon, passes each reply on as soon as it is there,
+// and logs them together.
+func (f *Front) runAll(ctx context.Context, subs []hysdispatch.SubRequest, results chan<- hysrelay.RunResult) {
+	began := time.Now()
+	replies := make([]hysdispatch.SubReply, len(subs))
+	var wait sync.WaitGroup
 	for i, sub := range subs {
-		go func() {
+		wait.Go(func() {
 			defer f.delegatedShards.Add(-1)
-			results <- hysrelay.RunResult{Index: i, Reply: f.dispatcher.Submit(ctx, sub)}
-		}()
+			replies[i] = f.dispatcher.Submit(ctx, sub)
+			results <- hysrelay.RunResult{Index: i, Reply: replies[i]}
+		})
 	}
-	return results, nil
+	wait.Wait()
+	f.logRunForAnother(subs, replies, time.Since(began))
+}
+
+// logRunForAnother logs how sub-requests of another daemon have ended.
+func (f *Front) logRunForAnother(subs []hysdispatch.SubRequest, replies []hysdispatch.SubReply, took time.Duration) {
+	if len(subs) == 0 {
+		return
+	}
+	answered, sends, maxRuns := 0, 0, 0
+	for _, reply := range replies {
+		if hysgather.HasResult(reply) {
+			answered++
+		}
+		sends += reply.Sends
+		maxRuns = max(maxRuns, reply.PossibleRuns)
+	}
+	first := subs[0]
+	f.log.Info("sub-requests run for another instance", "id", first.RequestID, "service", first.Service, "count", len(subs),
+		"answered", answered, "sends", sends, "max-shard-runs", maxRuns, "max-attempts", first.MaxRuns,
+		"confirmed", first.Confirmed.IsReceived(), "ms", took.Milliseconds())
 }
 
 func services(subs []hysdispatch.SubRequest) []hysservice.Name {
--- a/io/hysingress/delegate.go
+++ b/io/hysingress/delegate.go
@@ -47,10 +47,10 @@
 	MaxAttempts  int
 	UsedAttempts int
 	// Attempts is, where the query is gathered, how many searchers of each shard may run
-	// it there; only one until Confirmed is closed, since the other instance may gather it
-	// itself. A nil Confirmed is that of an instance that confirms nothing.
+	// it there; only one before Confirmed, since the other instance may gather it itself.
+	// Confirmed is nil for an instance that confirms nothing.
 	Attempts  int
-	Confirmed <-chan struct{}
+	Confirmed hysdispatch.Confirmation
 }
 
 // DelegationResult is the answer of the instance that gathered a query.
@@ -162,17 +162,6 @@
 	}, nil
 }
 
-// isConfirmed reports whether the instance that has delegated the query is known to wait
-// for it.
-func (e *exchange) isConfirmed() bool {
-	select {
-	case <-e.confirmed:
-		return true
-	default:
-		return false
-	}
-}
-
 // request returns the query as an HTTP request of its caller.
 func (d Delegation) request(ctx context.Context) *http.Request {
 	m := d.Message
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -197,9 +197,9 @@
 	delegated bool
 	// usedAttempts is how often the query may have been sent to each shard before.
 	usedAttempts int
-	// confirmed is closed once the instance that has delegated the query is known to wait
-	// for it; nil if nothing is to be confirmed.
-	confirmed <-chan struct{}
+	// confirmed is that of the instance that has delegated the query; nil if nothing has to
+	// be confirmed.
+	confirmed hysdispatch.Confirmation
 	// repeated is set for a delegated query that may have been sent to the shards before.
 	repeated bool
 	// searchersLost is set for a delegated query that was given up, since too few of its
@@ -224,7 +224,7 @@
 	if e.prepare() && e.readBody() {
 		e.run(e.request.Context())
 	}
-	e.record.Latency, e.record.Confirmed = time.Since(e.start), e.isConfirmed()
+	e.record.Latency, e.record.Confirmed = time.Since(e.start), e.confirmed.IsReceived()
 	e.ingress.Observe(e.record)
 }
 
--- a/io/hysrelay/confirm.go
+++ b/io/hysrelay/confirm.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"sync"
+
+	"hyssopshore/core/hysdispatch"
 )
 
 // callNumber identifies a call of a daemon, so that it can confirm later that it knows the
@@ -12,15 +14,24 @@
 // newCallNumber returns a number that no other daemon is expected to use either.
 func newCallNumber() callNumber { return callNumber(rand.Uint64() | 1) }
 
-// confirmedCall returns the number of a call that may use some attempts. The only one needs
-// no confirmation.
-func confirmedCall(attempts int) callNumber {
+// numberForAttempts returns the number of a call that may use some attempts: none for a
+// single one, which needs no confirmation.
+func numberForAttempts(attempts int) callNumber {
 	if attempts <= 1 {
 		return 0
 	}
 	return newCallNumber()
 }
 
+// numberForParts returns the number of a call with some sub-requests.
+func numberForParts(subs []hysdispatch.SubRequest) callNumber {
+	attempts := 0
+	for _, sub := range subs {
+		attempts = max(attempts, sub.MaxRuns)
+	}
+	return numberForAttempts(attempts)
+}
+
 // confirmations holds the calls of other daemons that are not confirmed yet. It is safe for
 // concurrent use.
 type confirmations struct {
@@ -28,9 +39,9 @@
 	pending map[callNumber]chan struct{}
 }
 
-// expect returns a channel that is closed when the call is confirmed, and a function that
-// must be called at the end of the call. The channel is nil for a call without a number.
-func (c *confirmations) expect(number callNumber) (confirmed <-chan struct{}, end func()) {
+// expect returns the confirmation of a call, nil without a number, and a function that must
+// be called at the end of the call.
+func (c *confirmations) expect(number callNumber) (confirmed hysdispatch.Confirmation, end func()) {
 	if number == 0 {
 		return nil, func() {}
 	}
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
+	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysmessage"
 	"hyssopshore/core/hysroute"
@@ -97,7 +98,7 @@
 	acceptTimer := time.AfterFunc(c.acceptTimeout+patience, func() { cancel(ErrUnresponsive) })
 	defer acceptTimer.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
-	number := confirmedCall(d.MaxAttempts - d.UsedAttempts)
+	number := numberForAttempts(d.MaxAttempts - d.UsedAttempts)
 	stream, err := service.Gather(ctx, connect.NewRequest(encodeDelegation(d, number)))
 	if err != nil {
 		return hysingress.DelegationResult{}, gatherError(ctx, err)
@@ -145,11 +146,11 @@
 	patience   time.Duration
 	// cancel cancels the call with ErrUnresponsive if a probe is not answered.
 	cancel context.CancelCauseFunc
-	// call is what the probes confirm; 0 if there is nothing to confirm. If heldBack is not
-	// nil they do so once it is closed: until then the call is itself part of an
-	// unconfirmed one.
+	// call is what the probes confirm; 0 if there is nothing to confirm. A call that is
+	// itself part of another one is confirmed after that, which heldBack tells; nil if it
+	// is part of none.
 	call     callNumber
-	heldBack <-chan struct{}
+	heldBack hysdispatch.Confirmation
 	confirms bool
 }
 
--- a/io/hysrelay/run.go
+++ b/io/hysrelay/run.go
@@ -106,7 +106,7 @@
 	acceptTimer := time.AfterFunc(c.acceptTimeout+o.Patience, func() { cancel(ErrUnresponsive) })
 	defer acceptTimer.Stop()
 	service := frontconnect.NewFrontServiceClient(c.http, "http://"+string(address))
-	number := callOf(subs)
+	number := numberForParts(subs)
 	stream, err := service.Run(ctx, connect.NewRequest(encodeRun(subs, o.Margin, number)))
 	if err != nil {
 		return gatherError(ctx, err)
@@ -143,15 +143,6 @@
 	return nil
 }
 
-// callOf returns the number of a call with some sub-requests.
-func callOf(subs []hysdispatch.SubRequest) callNumber {
-	attempts := 0
-	for _, sub := range subs {
-		attempts = max(attempts, sub.MaxRuns)
-	}
-	return confirmedCall(attempts)
-}
-
 func encodeRun(subs []hysdispatch.SubRequest, margin time.Duration, number callNumber) *front.RunRequest {
 	first := subs[0]
 	r := &front.RunRequest{
