Tests: a handover that is refused at once, a daemon that outlives its spec

Cause, TestHandover: the test's stand-in answered in no time, in a goroutine that Serve starts. If that goroutine ran before the test's first look, the handover was rightly over. All three checks are as they were.

Cause, confirm_test.go: a handler of the stand-in daemon read the spec's variables, which the next spec sets anew, while it was ending.

Both are faults of tests; no product code changes.

--- a/io/hyspermit/handover_test.go
+++ b/io/hyspermit/handover_test.go
@@ -24,7 +24,11 @@
 	HandedOver bool   `json:"handed-over"`
 }
 
+// callTime is how long the other instance takes to answer.
+const callTime = time.Millisecond
+
 func (h handover) call(context.Context, hysmember.Instance, hyspermit.Request) (hyslimit.Grants, error) {
+	time.Sleep(callTime)
 	switch h.Answer {
 	case "declines":
 		return nil, fmt.Errorf("call: %w", hyspermit.ErrDeclined)
@@ -75,6 +79,7 @@
 		return m
 	}
 	g.Expect(mode()).To(gomega.Equal(hyslimit.ModeDeputy), "the other one may hand out the whole limit")
+	time.Sleep(callTime)
 	synctest.Wait()
 	if h.HandedOver {
 		g.Expect(mode()).To(gomega.Equal(hyslimit.ModeFull))
--- a/io/hysrelay/confirm_test.go
+++ b/io/hysrelay/confirm_test.go
@@ -64,6 +64,8 @@
 	// startDaemon starts a daemon that accepts everything and answers when release is
 	// closed.
 	startDaemon := func() hysmember.Address {
+		// Handlers may outlive the spec, whose variables the next one sets anew.
+		delegations, received, release := delegations, received, release
 		gather := func(ctx context.Context, d hysingress.Delegation, accept func() error) (hysingress.DelegationResult, error) {
 			delegations <- d
 			_ = accept()
