Test proxy: replies that are held back arrive later, in order, as with TCP

Seen: the random runs of attempts_test.go took 4 s or 34 s each, 83 s with the scripts, of the 10 minutes that the package may take. The daemon's probes were answered, so that it waited, until the other side closed the connection as idle.

Cause: the proxy. A muted one dropped bytes, and a connection that went on after that had a gap, which TCP does not allow: it sends them again. Now the bytes wait until replies pass again or the connection ends. The scripts, whose ways stay muted, play as before.

Evidence: the eight specs pass, in 25 s instead of 83 s.

Not changed: a daemon waits for an accepted query as long as the other one answers probes. One that answers probes and never sends a result would keep its caller waiting for 30 s; no run shows such a daemon.

--- a/internal/hystest/proxy.go
+++ b/internal/hystest/proxy.go
@@ -31,9 +31,10 @@
 	links    map[*link]bool
 	delay    time.Duration
 	accepted int
-	// muted is set while the bytes of all replies are dropped, and closeDelay is how much
-	// later than one end closes a connection the other end learns of it.
-	muted      bool
+	// muted is set while all replies are held back, and closed when they no longer are.
+	// closeDelay is how much later than one end closes a connection the other end learns
+	// of it.
+	muted      chan struct{}
 	closeDelay time.Duration
 	// hanging is set while new connections hang, and closed when they no longer do.
 	// parked is closed once none is accepted any more. fillers are the connections that
@@ -49,6 +50,9 @@
 type link struct {
 	client net.Conn
 	server net.Conn
+	// closed is closed together with the connection.
+	closed    chan struct{}
+	closeOnce sync.Once
 	// frozen is set for each direction in which every byte is dropped.
 	frozen [2]bool
 }
@@ -84,12 +88,19 @@
 	p.delay = d
 }
 
-// SetMuted sets whether the bytes of all replies are dropped, on open and new
-// connections. Requests arrive, and so do the ends of connections.
+// SetMuted sets whether all replies are held back, on open and new connections, as if
+// their packets were lost: TCP sends them again, and passes none over. Requests arrive,
+// and so does the end of a connection that the side of the requests closes.
 func (p *Proxy) SetMuted(muted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.muted = muted
+	switch {
+	case muted && p.muted == nil:
+		p.muted = make(chan struct{})
+	case !muted && p.muted != nil:
+		close(p.muted)
+		p.muted = nil
+	}
 }
 
 // SetCloseDelay sets how much later than one end closes a connection the other end learns
@@ -139,6 +150,7 @@
 }
 
 func (l *link) close() {
+	l.closeOnce.Do(func() { close(l.closed) })
 	_ = l.client.Close()
 	_ = l.server.Close()
 }
@@ -159,7 +171,7 @@
 			_ = client.Close()
 			continue
 		}
-		l := &link{client: client, server: server}
+		l := &link{client: client, server: server, closed: make(chan struct{})}
 		p.mu.Lock()
 		p.accepted++
 		p.links[l] = true
@@ -177,7 +189,7 @@
 		n, err := from.Read(buffer)
 		p.mu.Lock()
 		delay, closeDelay := p.delay, p.closeDelay
-		frozen, muted := l.frozen[d], p.muted && d == DirectionReply
+		frozen, muted := l.frozen[d], p.muted
 		p.mu.Unlock()
 		if err != nil && !frozen {
 			time.Sleep(closeDelay)
@@ -186,9 +198,15 @@
 		if err != nil {
 			return
 		}
-		if frozen || muted {
+		if frozen {
 			continue
 		}
+		if muted != nil && d == DirectionReply {
+			select {
+			case <-muted:
+			case <-l.closed:
+			}
+		}
 		time.Sleep(delay)
 		if _, err := to.Write(buffer[:n]); err != nil {
 			p.remove(l)
