--- a/core/hysreach/evidence.go
+++ b/core/hysreach/evidence.go
@@ -20,7 +20,7 @@
 	// EvidenceUnacknowledged is a connection on which sent bytes were not
 	// acknowledged.
 	EvidenceUnacknowledged // unacknowledged
-	// EvidenceStalled means that sends were running and no searcher answered any.
+	// EvidenceStalled means that sends were started and no searcher answered any.
 	EvidenceStalled // stalled
 	// EvidenceInferred means that this searcher was not tried: a sample of all
 	// searchers could not be reached.
--- a/core/hysreach/round.go
+++ b/core/hysreach/round.go
@@ -9,8 +9,8 @@
 // ProbeTimeout is how long a probe may take to establish a connection.
 const ProbeTimeout = 150 * time.Millisecond
 
-// stallTime is how long nothing may be heard from any searcher, while sends are
-// running, before some are probed.
+// stallTime is how long nothing may be heard from any searcher, after sends were started,
+// before some are probed.
 const stallTime = 150 * time.Millisecond
 
 // Bounds of the time between two rounds. It doubles while rounds confirm nothing.
@@ -34,7 +34,7 @@
 		return t.failure
 	}
 	quietSince := t.started.Add(time.Duration(max(t.lastHeard.Load(), t.busySince.Load())))
-	if t.running.Load() > 0 && now.Sub(quietSince) >= stallTime {
+	if t.awaiting() && now.Sub(quietSince) >= stallTime {
 		return EvidenceStalled
 	}
 	return EvidenceNone
--- a/core/hysreach/schedule.go
+++ b/core/hysreach/schedule.go
@@ -143,7 +143,7 @@
 func (t *Tracker) Busy() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.running.Load() > 0 || len(t.unreachable) > 0 || len(t.schedule.suspects) > 0 || t.round != nil
+	return t.awaiting() || len(t.unreachable) > 0 || len(t.schedule.suspects) > 0 || t.round != nil
 }
 
 // NextProbes returns the searchers to probe now, and what has changed because time has
--- a/core/hysreach/tracker.go
+++ b/core/hysreach/tracker.go
@@ -5,7 +5,7 @@
 // connections to searchers hang, are reset, or live on while new ones are refused,
 // and callers and other instances still reach it. Each send alone fails only after
 // its own timeout, which tells nothing about the next one. The tracker combines what
-// is heard from all searchers: failures of sends and silence while sends are running
+// is heard from all searchers: failures of sends, and silence after sends were started,
 // raise a suspicion, which a few short probes confirm or clear. If a sample of the
 // searchers fails and nothing is heard from any of them meanwhile, all count as out
 // of reach until probes reach them again.
@@ -174,10 +174,19 @@
 	if t.running.Add(1) > 1 {
 		return false
 	}
-	t.busySince.Store(t.clock())
+	if !t.unanswered() {
+		t.busySince.Store(t.clock())
+	}
 	return true
 }
 
+// unanswered reports whether nothing was heard since sends were in flight. They may have
+// been cancelled meanwhile, since another searcher or instance was asked.
+func (t *Tracker) unanswered() bool { return t.busySince.Load() > t.lastHeard.Load() }
+
+// awaiting reports whether sends are in flight or unanswered.
+func (t *Tracker) awaiting() bool { return t.running.Load() > 0 || t.unanswered() }
+
 // SendEnded records the end of a send.
 func (t *Tracker) SendEnded() { t.running.Add(-1) }
 
--- a/core/hysreach/tracker_test.go
+++ b/core/hysreach/tracker_test.go
@@ -29,8 +29,11 @@
 	// searcher takes.
 	SendsPerSecond int   `json:"sends-per-second"`
 	LatencyMS      int64 `json:"latency-ms"`
-	RunMS          int64 `json:"run-ms"`
-	Cuts           []cut `json:"cuts"`
+	// CancelMS is after how long a send without an answer is cancelled, which says
+	// nothing of the searcher; 0 if none is.
+	CancelMS int64 `json:"cancel-ms"`
+	RunMS    int64 `json:"run-ms"`
+	Cuts     []cut `json:"cuts"`
 	// Partitions is how often the instance must have counted as partitioned.
 	Partitions int `json:"partitions"`
 	// LostMS and RegainedMS are by when the first service must be lost, and by when
@@ -136,6 +139,12 @@
 			w.handle(w.tracker.Heard(id))
 		}
 	})
+	cancel := time.Duration(w.CancelMS) * time.Millisecond
+	cancelled := cancel > 0 && (w.cutNow(i) == "hang" || w.cutNow(i) == "slow" && cancel < 20*latency)
+	if cancelled {
+		w.after(cancel, w.tracker.SendEnded)
+		return
+	}
 	switch w.cutNow(i) {
 	case "hang":
 		w.after(sendTimeout, end(func() { w.tracker.Failed(id, began, hysreach.EvidenceTimeout) }))
