--- a/review/standin-2/case_allocators.go
+++ b/review/standin-2/case_allocators.go
@@ -13,9 +13,7 @@
 
 // Times of the first day, from the start of the machines.
 const (
-	// rejectFrom is when the store begins to turn the machine away, and rejectSpan for how
-	// long.
-	rejectFrom = 700 * time.Millisecond
+	// rejectSpan is for how long the store turns one machine away, from the start on.
 	rejectSpan = 9 * time.Second
 	// trafficFrom is when traffic starts.
 	trafficFrom = 10 * time.Second
@@ -34,9 +32,9 @@
 	limitSlack     = 5
 )
 
-// playTwoAllocators starts the whole system for the first time. The store soon turns one
-// machine away for a while, and takes its keys away. Traffic starts 10 s after the
-// machines, and the searchers state a rate limit.
+// playTwoAllocators starts the whole system for the first time, while the store turns one
+// machine away. Traffic starts 10 s after the machines, and the searchers state a rate
+// limit.
 func playTwoAllocators(e *environment) bool {
 	var searchers []*searcher
 	for n, p := range []place{places[0], places[0], places[1], places[2]} {
@@ -59,18 +57,18 @@
 	for n, p := range places {
 		daemons = append(daemons, newDaemon(e.directory, n, p, e.store, e.record))
 	}
-	start := time.Now()
+	start, turnedAway := time.Now(), daemons[0].name
+	if e.trouble {
+		e.store.reject(turnedAway, true)
+		e.record.add("the store turns %s away", turnedAway)
+	}
 	for _, d := range daemons {
 		d.start()
 	}
+	time.Sleep(time.Until(start.Add(rejectSpan)))
 	if e.trouble {
-		time.Sleep(time.Until(start.Add(rejectFrom)))
-		e.store.reject(daemons[0].name, true)
-		count := e.store.revoke("hyssopshore/instances/" + daemons[0].name)
-		e.record.add("the store turns %s away; %d keys are taken away", daemons[0].name, count)
-		time.Sleep(rejectSpan)
-		e.store.reject(daemons[0].name, false)
-		e.record.add("the store serves %s again", daemons[0].name)
+		e.store.reject(turnedAway, false)
+		e.record.add("the store serves %s again", turnedAway)
 	}
 	time.Sleep(time.Until(start.Add(trafficFrom)))
 	stop := make(chan struct{})
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -42,7 +43,7 @@
 	leases   map[int64]*lease
 	changed  chan struct{}
 	delay    time.Duration
-	// rejected holds the machines to which every call is answered 503.
+	// rejected holds the machines that get no answer to any call.
 	rejected map[string]bool
 	servers  []*http.Server
 	record   *record
@@ -87,36 +88,6 @@
 	s.rejected[machine] = on
 }
 
-// revoke takes away the keys under a prefix that are written under leases.
-func (s *store) revoke(prefix string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	count := 0
-	for key, i := range s.items {
-		if i.Lease != 0 && strings.HasPrefix(key, prefix) {
-			delete(s.leases, i.Lease)
-			s.remove(key)
-			count++
-		}
-	}
-	s.notify()
-	return count
-}
-
-// keysWith returns the keys that contain a text.
-func (s *store) keysWith(text string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for key := range s.items {
-		if strings.Contains(key, text) {
-			keys = append(keys, key)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // put writes a key as the operator and the searchers do.
 func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -180,8 +151,8 @@
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if rejected {
-		s.record.add("store 503 to %s: %s %s", machine, r.Method, r.URL.Path)
-		answer(w, http.StatusServiceUnavailable, map[string]any{})
+		s.record.add("no answer of the store to %s: %s %s", machine, r.Method, r.URL.Path)
+		stayQuiet(r)
 		return
 	}
 	switch path := r.URL.Path; {
@@ -204,6 +175,14 @@
 	}
 }
 
+// stayQuiet waits until the caller has given a call up, and closes its connection without an
+// answer.
+func stayQuiet(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 func answer(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	check(err)
@@ -263,7 +242,7 @@
 		current, changed, rejected := s.revision, s.changed, s.rejected[machine]
 		s.mu.Unlock()
 		if rejected {
-			answer(w, http.StatusServiceUnavailable, map[string]any{})
+			stayQuiet(r)
 			return
 		}
 		if len(events) == 500 {
