review: case 7, an allocator that starts again just after it joined

A machine is added, its process is killed 2.5 s after its start and starts again; the searchers state a rate limit.

--- a/review/standin-2/case_allocators.go
+++ b/review/standin-2/case_allocators.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -44,15 +43,7 @@
 		}
 		searchers = append(searchers, startSearcher(s, e.store))
 	}
-	e.store.put("op/config", map[string]any{
-		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-band", "host": "rota.example", "prefix": "/band/", "type": "idempotent", "service": "band-roll",
-			"timeout-ms": 3000, "slo-ms": 300, "priority": 2, "max-attempts": 2,
-		}},
-		"services": []any{map[string]any{"name": "band-roll", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+	e.store.put("op/config", bandConfiguration())
 	var daemons []*daemon
 	for n, p := range places {
 		daemons = append(daemons, newDaemon(e.directory, n, p, e.store, e.record))
@@ -71,44 +62,26 @@
 		e.record.add("the store serves %s again", turnedAway)
 	}
 	time.Sleep(time.Until(start.Add(trafficFrom)))
-	stop := make(chan struct{})
-	var wait sync.WaitGroup
-	outcomes := newOutcomes()
 	for _, d := range daemons {
 		if !d.isReady() {
 			e.record.add("%s is not ready as traffic starts", d.name)
 		}
-		c := newClient(true)
-		wait.Go(func() {
-			ticker := time.NewTicker(time.Second / requestsPerSecond)
-			defer ticker.Stop()
-			for {
-				select {
-				case <-stop:
-					return
-				case <-ticker.C:
-				}
-				wait.Go(func() {
-					outcomes.add(d.name, send(c, d.callers, http.MethodGet, "rota.example", "/band/7", "", requestDeadline))
-				})
-			}
-		})
 	}
+	traffic := newBandTraffic(daemons)
 	time.Sleep(trafficSpan)
-	close(stop)
-	wait.Wait()
-	outcomes.say(e.record)
+	traffic.end(e.record)
 	held := true
 	for _, s := range searchers {
-		held = limitHeld(e.record, s) && held
+		held = limitHeld(e.record, s, nil) && held
 	}
 	return held
 }
 
 // limitHeld reports whether a searcher got no more than the rule allows in some window,
-// from limitSettle after its first answer on.
-func limitHeld(r *record, s *searcher) bool {
-	times := s.times()
+// from limitSettle after its first answer on. Requests for which excused returns true are
+// not counted.
+func limitHeld(r *record, s *searcher, excused func(id string) bool) bool {
+	times := s.times(excused)
 	if len(times) == 0 {
 		r.say("searcher %s got no request", s.id)
 		return true
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -39,7 +39,12 @@
 
 // send makes one client attempt, and waits for its answer until the deadline.
 func send(c *http.Client, address, method, host, path, body string, deadline time.Duration) reply {
-	r := reply{id: newID()}
+	return sendAs(c, newID(), address, method, host, path, body, deadline)
+}
+
+// sendAs does the same with an id.
+func sendAs(c *http.Client, id, address, method, host, path, body string, deadline time.Duration) reply {
+	r := reply{id: id}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	var content io.Reader
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -22,6 +22,9 @@
 // places are the zones of the small deployment.
 var places = []place{{"accra-osu", "accra"}, {"kumasi-adum", "kumasi"}, {"tamale-central", "tamale"}}
 
+// secondPlace is a second zone of the first region.
+var secondPlace = place{"accra-tema", "accra"}
+
 // daemon is one machine of the system with its process.
 type daemon struct {
 	name     string
@@ -38,11 +41,16 @@
 
 // newDaemon describes a machine. The process is not started yet.
 func newDaemon(directory string, number int, p place, st *store, r *record) *daemon {
+	return newDaemonInZone(directory, number, 1, p, st, r)
+}
+
+// newDaemonInZone does the same for one of several machines of a zone.
+func newDaemonInZone(directory string, number, inZone int, p place, st *store, r *record) *daemon {
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, 10+number)
 	ports := freePorts(ip, 3)
 	d := &daemon{
-		name: "frontend-" + p.zone + "-1", place: p, ip: ip, callers: ports[0], ready: ports[1],
+		name: fmt.Sprintf("frontend-%s-%d", p.zone, inZone), place: p, ip: ip, callers: ports[0], ready: ports[1],
 		settings: filepath.Join(directory, fmt.Sprintf("node-%d.yaml", number)),
 		logPath:  filepath.Join(directory, fmt.Sprintf("node-%d.log", number)), record: r,
 	}
@@ -56,7 +64,7 @@
 // bootstrap set.
 func (d *daemon) write(storeAddress, peerPort string, bootstrap bool) {
 	zones := ""
-	for _, p := range places {
+	for _, p := range append([]place{secondPlace}, places...) {
 		zones += fmt.Sprintf("  %s: %q\n", p.zone, p.region)
 	}
 	text := fmt.Sprintf(`node-name: %q
@@ -149,6 +157,18 @@
 	_ = d.command.Process.Signal(s)
 }
 
+// stop stops the process as the platform does, and waits for its end.
+func (d *daemon) stop() {
+	const grace = 6 * time.Second
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-d.done:
+	case <-time.After(grace):
+		d.signal(syscall.SIGKILL)
+		<-d.done
+	}
+}
+
 // isReady asks the daemon as the platform does.
 func (d *daemon) isReady() bool {
 	client := http.Client{Timeout: readyInterval, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin-2/searcher.go
+++ b/review/standin-2/searcher.go
@@ -154,13 +154,23 @@
 	_, _ = w.Write(answer)
 }
 
-// times returns when requests have reached the searcher.
-func (s *searcher) times() []time.Time {
+// setLimit sets the rate limit that the searcher states from now on, and forgets what has
+// reached it before.
+func (s *searcher) setLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.arrivals = limit, nil
+}
+
+// times returns when requests have reached the searcher, but for those that are excused.
+func (s *searcher) times(excused func(id string) bool) []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := make([]time.Time, 0, len(s.arrivals))
 	for _, a := range s.arrivals {
-		all = append(all, a.at)
+		if excused == nil || !excused(a.id) {
+			all = append(all, a.at)
+		}
 	}
 	return all
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -47,6 +47,8 @@
 	rejected map[string]bool
 	servers  []*http.Server
 	record   *record
+	// onRange is called with the machine and the prefix of each listing, if it is set.
+	onRange func(machine, prefix string)
 }
 
 func newStore(r *record) *store {
@@ -88,6 +90,40 @@
 	s.rejected[machine] = on
 }
 
+// hasKeyWith reports whether a key contains a text.
+func (s *store) hasKeyWith(text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.items {
+		if strings.Contains(key, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitListing waits until a machine has listed the instances.
+func (s *store) awaitListing(machine string, within time.Duration) {
+	listed := make(chan struct{}, 1)
+	s.mu.Lock()
+	s.onRange = func(by, prefix string) {
+		if by != machine || strings.HasPrefix(prefix, "servers/") {
+			return
+		}
+		select {
+		case listed <- struct{}{}:
+		default:
+		}
+	}
+	s.mu.Unlock()
+	select {
+	case <-listed:
+		s.record.add("%s has listed the instances", machine)
+	case <-time.After(within):
+		fail(fmt.Errorf("%s does not list the instances", machine))
+	}
+}
+
 // put writes a key as the operator and the searchers do.
 func (s *store) put(key string, value any) {
 	data, err := json.Marshal(value)
@@ -160,6 +196,12 @@
 		s.serveKey(w, r)
 	case path == "/kv-range":
 		s.serveRange(w, r)
+		s.mu.Lock()
+		onRange := s.onRange
+		s.mu.Unlock()
+		if onRange != nil {
+			onRange(machine, r.URL.Query().Get("prefix"))
+		}
 	case path == "/kv-watch":
 		s.serveWatch(w, r, machine)
 	case path == "/kv-txn":
