--- a/review/standin-2/case_joined.go
+++ b/review/standin-2/case_joined.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,7 @@
 
 // playJoinedAllocator adds a machine to a system in which the searchers state a rate
 // limit. The process of that machine is killed after it has announced itself, and starts
-// again.
+// again. With STOP=1 it is stopped as planned in place of that.
 func playJoinedAllocator(e *environment) bool {
 	var searchers []*searcher
 	for _, n := range []int{1, 3, 4, 6} {
@@ -77,8 +78,12 @@
 		e.record.add("%s has not announced itself", joined.name)
 	}
 	if e.trouble {
-		joined.signal(syscall.SIGKILL)
-		<-joined.done
+		if os.Getenv("STOP") == "1" {
+			joined.stop()
+		} else {
+			joined.signal(syscall.SIGKILL)
+			<-joined.done
+		}
 		time.Sleep(restartDelay)
 		joined.start()
 	}
