--- a/review/standin-2/case_allocators.go
+++ b/review/standin-2/case_allocators.go
@@ -72,22 +72,21 @@
 	traffic.end(e.record)
 	held := true
 	for _, s := range searchers {
-		held = limitHeld(e.record, s, nil) && held
+		held = limitHeld(e.record, s, limitSettle) && held
 	}
 	return held
 }
 
 // limitHeld reports whether a searcher got no more than the rule allows in some window,
-// from limitSettle after its first answer on. Requests for which excused returns true are
-// not counted.
-func limitHeld(r *record, s *searcher, excused func(id string) bool) bool {
-	times := s.times(excused)
+// from a time after its first answer on.
+func limitHeld(r *record, s *searcher, settle time.Duration) bool {
+	times := s.times()
 	if len(times) == 0 {
 		r.say("searcher %s got no request", s.id)
 		return true
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	from := times[0].Add(limitSettle)
+	from := times[0].Add(settle)
 	allowed := int(math.Floor(limitFactor*limitPerSecond*limitWindow.Seconds() + limitSlack))
 	most, at := 0, from
 	for i, begin := range times {
--- a/review/standin-2/case_joined.go
+++ b/review/standin-2/case_joined.go
@@ -25,6 +25,8 @@
 	// killAfter is when the machine that joins is killed, after its start.
 	killAfter  = 2500 * time.Millisecond
 	joinedSpan = 14 * time.Second
+	// grownSettle is stable-ms of the grown site.
+	grownSettle = 6 * time.Second
 )
 
 // playJoinedAllocator adds a machine to a system in which the searchers state a rate
@@ -91,7 +93,7 @@
 	traffic.end(e.record)
 	held := true
 	for _, s := range searchers {
-		held = limitHeld(e.record, s, nil) && held
+		held = limitHeld(e.record, s, grownSettle) && held
 	}
 	return held
 }
--- a/review/standin-2/searcher.go
+++ b/review/standin-2/searcher.go
@@ -162,15 +162,13 @@
 	s.limit, s.arrivals = limit, nil
 }
 
-// times returns when requests have reached the searcher, but for those that are excused.
-func (s *searcher) times(excused func(id string) bool) []time.Time {
+// times returns when requests have reached the searcher.
+func (s *searcher) times() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := make([]time.Time, 0, len(s.arrivals))
 	for _, a := range s.arrivals {
-		if excused == nil || !excused(a.id) {
-			all = append(all, a.at)
-		}
+		all = append(all, a.at)
 	}
 	return all
 }
