--- a/internal/hystest/cluster.go
+++ b/internal/hystest/cluster.go
@@ -165,7 +165,7 @@
 		Instance: hysmember.InstanceID(fmt.Sprintf("entry-%d", c.startedDaemons)),
 		Zone:     Zone, Region: Region,
 		CallerAddress: FreeAddress(loopback), PeerAddress: FreeAddress(loopback), OperatorAddress: FreeAddress(loopback),
-		StoreAddress: hysmember.Address(c.platform.Listener.Addr().String()),
+		StoreAddress: c.StoreAddress(),
 		PeerSecret:   Secret, OperatorSecret: Secret, Drain: 300,
 	}
 	s.Defaults()
@@ -181,6 +181,17 @@
 	})
 }
 
+// AddInstance adds an instance to the list that Start has not started.
+func (c *Cluster) AddInstance(i hysmember.Instance) {
+	c.list.Instances = append(c.list.Instances, i)
+	c.Platform.SetList(c.list)
+}
+
+// StoreAddress returns the address of the platform's store.
+func (c *Cluster) StoreAddress() hysmember.Address {
+	return hysmember.Address(c.platform.Listener.Addr().String())
+}
+
 // Retire removes daemons from the instance list. They go on running.
 func (c *Cluster) Retire(removed ...*Daemon) {
 	ids := make(map[hysmember.InstanceID]bool, len(removed))
