--- a/io/hysfront/callers.go
+++ b/io/hysfront/callers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hyssopshore/core/hysroute"
+	"hyssopshore/io/hyslisten"
 )
 
 // Timeouts of callers' connections that the configuration does not set.
@@ -19,15 +20,14 @@
 	defaultIdleTimeout   = 75 * time.Second
 )
 
-// acceptRetryDelay is the time between a failed accept and the next one.
-const acceptRetryDelay = 20 * time.Millisecond
-
 // callerServer serves the callers' port. An http.Server fixes its timeouts when it
 // starts, so each change of them in the configuration starts another server on the
 // same port. Connections stay with the server that got them.
 type callerServer struct {
 	handler http.Handler
 	log     *slog.Logger
+	// limit returns a listener that bounds the connections of another one.
+	limit func(net.Listener) net.Listener
 	// requests is the context of all requests, endRequests cancels it with a cause.
 	requests    context.Context
 	endRequests context.CancelCauseFunc
@@ -59,30 +59,24 @@
 }
 
 // newCallerServer returns a server that is not yet started.
-func newCallerServer(handler http.Handler, log *slog.Logger) *callerServer {
-	c := &callerServer{handler: handler, log: log, timeouts: newCallerTimeouts(hysroute.Limits{})}
+func newCallerServer(handler http.Handler, log *slog.Logger, limit func(net.Listener) net.Listener) *callerServer {
+	c := &callerServer{handler: hyslisten.Handler(handler), log: log, limit: limit, timeouts: newCallerTimeouts(hysroute.Limits{})}
 	c.requests, c.endRequests = context.WithCancelCause(context.Background())
 	return c
 }
 
 // Serve passes connections to the current http.Server until the listener is closed.
 // It returns http.ErrServerClosed.
-func (c *callerServer) Serve(listener net.Listener) error {
+func (c *callerServer) Serve(inner net.Listener) error {
+	listener := c.limit(inner)
 	c.mu.Lock()
 	c.listener = listener
 	c.startServer()
 	c.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return http.ErrServerClosed
-		}
 		if err != nil {
-			// While file descriptors are short, new connections wait to be
-			// accepted.
-			c.log.Warn("connection not accepted", "error", err)
-			time.Sleep(acceptRetryDelay)
-			continue
+			return http.ErrServerClosed
 		}
 		c.currentListener().deliver(conn)
 	}
@@ -115,7 +109,7 @@
 		Handler: c.handler, ReadHeaderTimeout: c.timeouts.header, IdleTimeout: c.timeouts.idle,
 		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
 		ErrorLog:    slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
-		BaseContext: func(net.Listener) context.Context { return c.requests },
+		BaseContext: func(net.Listener) context.Context { return c.requests }, ConnContext: hyslisten.ConnContext,
 	}
 	c.current = newHandoffListener(c.listener.Addr())
 	c.servers = append(c.servers, server)
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -17,6 +17,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -248,7 +249,7 @@
 		Relay: f.relay, Lost: f.reach.Lost, MostlyLost: f.mostlyLost,
 		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections,
 	}
-	f.callerServer = newCallerServer(f.ingress, f.log)
+	f.callerServer = newCallerServer(f.ingress, f.log, func(l net.Listener) net.Listener { return f.limited("callers", l, s.callerLimits()) })
 	for _, o := range options {
 		o(f)
 	}
--- a/io/hysfront/settings.go
+++ b/io/hysfront/settings.go
@@ -47,6 +47,9 @@
 	PeerAddress hysmember.Address
 	// MemoryBytes is how much memory the process may use; 0 stands for no limit.
 	MemoryBytes int64
+	// MaxDescriptors is how many file descriptors the process may have; 0 if only the
+	// system's own limit applies.
+	MaxDescriptors int
 	// ProcessorShare is how much processor time the process may use, in cores; 0 if
 	// it is not known.
 	ProcessorShare float64
@@ -114,6 +117,9 @@
 			return fmt.Errorf("Settings.Validate: %s: %w: %w", name, ErrInvalid, err)
 		}
 	}
+	if s.MaxDescriptors < 0 || s.MemoryBytes < 0 {
+		return fmt.Errorf("Settings.Validate: a limit of the process is negative: %w", ErrInvalid)
+	}
 	if s.RetryShare < 0 || s.RetrySlack < 0 || s.RetryWindow < 0 || s.StopGrace < 0 || s.changeWithin() < 0 || s.WritesPerSecond < 0 {
 		return fmt.Errorf("Settings.Validate: a bound is negative: %w", ErrInvalid)
 	}
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,6 +31,8 @@
 	"hyssopshore/core/hysquery"
 	"hyssopshore/core/hysroute"
 	"hyssopshore/core/hysservice"
+	"hyssopshore/io/hysconn"
+	"hyssopshore/io/hyslisten"
 )
 
 // Times after which a refused request may be sent again.
@@ -283,12 +284,18 @@
 	control := http.NewResponseController(e.writer)
 	// If the connection does not support deadlines, the body is read without one.
 	_ = control.SetReadDeadline(e.deadline)
-	body, err := io.ReadAll(e.request.Body)
+	body, err := hysconn.ReadBody(e.request.Body)
 	_ = control.SetReadDeadline(time.Time{})
+	conn := hyslisten.FromContext(e.request.Context())
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
-	case err == nil:
+	case err == nil && conn.Begin():
+	case conn.Evicted():
+		// The rest of the body is not read.
+		e.writer.Header().Set("Connection", "close")
+		e.refuse("too many requests arrive here at the same time", overloadedRetryAfter)
+		return false
 	case errors.As(err, &tooLarge):
 		e.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 		return false
