--- a/io/hysfront/intake.go
+++ b/io/hysfront/intake.go
@@ -9,8 +9,11 @@
 	"hyssopshore/io/hyslisten"
 )
 
-// Shares of what the process may use, that the callers' port may take.
+// Shares of what the process may use, that a port may take.
 const (
+	// peerSocketShare and peerMemoryShare are those of the port of other daemons.
+	peerSocketShare = 0.15
+	peerMemoryShare = 0.0625
 	// callerSocketShare leaves the rest for searchers, the store and other daemons.
 	callerSocketShare = 0.45
 	// callerMemoryShare is that of the requests that arrive and run. Their buffers may
@@ -29,6 +32,10 @@
 	defaultRequestMemory = 64 << 20
 )
 
+// probeLimits are the limits of the ports of readiness and metrics, whose requests have no
+// body. Only the platform calls them, one request at a time.
+var probeLimits = hysintake.Limits{Connections: 16, Bytes: 1 << 20}
+
 // refusal is the answer to a connection that is refused since all others run requests.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
@@ -65,6 +72,15 @@
 	return l
 }
 
+// peerLimits returns the limits of the port of other daemons.
+func (s *Settings) peerLimits() hysintake.Limits {
+	l := hysintake.Limits{Connections: int(peerSocketShare * float64(s.sockets())), Bytes: defaultRequestMemory}
+	if s.MemoryBytes > 0 {
+		l.Bytes = int64(peerMemoryShare * float64(s.MemoryBytes))
+	}
+	return l
+}
+
 // limited returns a listener that accepts the connections of one of the daemon's ports
 // within limits.
 func (f *Front) limited(port string, inner net.Listener, limits hysintake.Limits) net.Listener {
--- a/io/hysfront/serve.go
+++ b/io/hysfront/serve.go
@@ -8,7 +8,9 @@
 	"strconv"
 	"time"
 
+	"hyssopshore/core/hysintake"
 	"hyssopshore/core/hysmember"
+	"hyssopshore/io/hyslisten"
 	"hyssopshore/io/hysrelay"
 )
 
@@ -43,20 +45,29 @@
 	metrics := hysmember.Address(net.JoinHostPort(f.settings.Address, strconv.Itoa(MetricsPort)))
 	return []port{
 		{name: "callers", address: f.settings.CallerAddress, serve: f.callerServer.Serve, close: f.callerServer.close},
-		f.internalPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness)),
-		f.internalPort("metrics", metrics, f.metrics.Handler()),
-		f.internalPort("peers", f.settings.PeerAddress, hysrelay.NewHandler(f.serveFollow, f.gather, f.runForAnother, f.permits.Serve)),
+		f.internalPort("readiness", f.settings.ReadinessAddress, http.HandlerFunc(f.serveReadiness), probeLimits),
+		f.internalPort("metrics", metrics, f.metrics.Handler(), probeLimits),
+		f.internalPort("peers", f.settings.PeerAddress, f.peerHandler(), f.settings.peerLimits()),
 	}
 }
 
+// peerHandler returns the handler of other daemons' calls.
+func (f *Front) peerHandler() http.Handler {
+	return hyslisten.WholeBody(hysrelay.MaxRequestBytes, hysrelay.NewHandler(f.serveFollow, f.gather, f.runForAnother, f.permits.Serve))
+}
+
 // internalPort returns a port that callers don't use.
-func (f *Front) internalPort(name string, address hysmember.Address, handler http.Handler) port {
+func (f *Front) internalPort(name string, address hysmember.Address, handler http.Handler, limits hysintake.Limits) port {
 	s := &http.Server{
-		Handler: handler, ReadTimeout: internalTimeout, IdleTimeout: internalIdleTimeout, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		Handler: hyslisten.Handler(handler), ConnContext: hyslisten.ConnContext,
+		ReadTimeout: internalTimeout, IdleTimeout: internalIdleTimeout, ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+	}
+	return port{
+		name: name, address: address,
+		serve: func(l net.Listener) error { return s.Serve(f.limited(name, l, limits)) },
+		// The server is not used any more when it is closed, so an error does not matter.
+		close: func() { _ = s.Close() },
 	}
-	// The server is not used any more when it is closed, so an error does not
-	// matter.
-	return port{name: name, address: address, serve: s.Serve, close: func() { _ = s.Close() }}
 }
 
 // listen opens the daemon's ports and serves them.
--- a/io/hysrelay/relay.go
+++ b/io/hysrelay/relay.go
@@ -43,8 +43,8 @@
 	maxWait = 2 * time.Second
 )
 
-// maxRequestBytes bounds the size of another daemon's request.
-const maxRequestBytes = 4 << 20
+// MaxRequestBytes bounds the size of another daemon's request.
+const MaxRequestBytes = 4 << 20
 
 // Cursor is the position up to which the updates of a daemon were received.
 type Cursor struct {
@@ -115,7 +115,7 @@
 		follow: follow, gather: gather, run: run, permits: permits,
 		confirmations: confirmations{pending: make(map[callNumber]chan struct{})},
 	}
-	mux.Handle(frontconnect.NewFrontServiceHandler(s, connect.WithReadMaxBytes(maxRequestBytes)))
+	mux.Handle(frontconnect.NewFrontServiceHandler(s, connect.WithReadMaxBytes(MaxRequestBytes)))
 	return mux
 }
 
