--- a/cmd/hyssopshore/serve.go
+++ b/cmd/hyssopshore/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime/debug"
 
 	"hyssopshore/io/hysdaemon"
+	"hyssopshore/io/hyslog"
 	"hyssopshore/io/hyssettings"
 )
 
@@ -34,7 +36,10 @@
 	if err != nil {
 		return usageError("serve: %w", err)
 	}
-	log := slog.New(slog.NewJSONHandler(p.stderr, nil))
+	writer := hyslog.NewWriter(p.stderr)
+	defer writer.Close()
+	log := slog.New(hyslog.NewHandler(writer))
+	debug.SetMemoryLimit(settings.CollectorLimit())
 	if err := hysdaemon.New(settings, log).Run(ctx); err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
--- a/io/hysdaemon/daemon.go
+++ b/io/hysdaemon/daemon.go
@@ -28,6 +28,7 @@
 	"hyssopshore/io/hysentry"
 	"hyssopshore/io/hysevidence"
 	"hyssopshore/io/hyshttp"
+	"hyssopshore/io/hyslisten"
 	"hyssopshore/io/hysmetrics"
 	"hyssopshore/io/hysoperator"
 	"hyssopshore/io/hyspeer"
@@ -244,12 +245,12 @@
 
 // listen creates the servers for callers and operators and opens their ports.
 func (d *Daemon) listen() (callers, operators *hyshttp.Server, err error) {
-	callers, err = hyshttp.NewServer(d.settings.CallerAddress,
+	callers, err = hyshttp.NewServer(d.settings.CallerAddress, hyshttp.WithListen(hyslisten.WithLog(d.log, "callers")),
 		hyshttp.WithLimits(d.settings.Limits(hysentry.MaxBodyBytes)), hyshttp.WithFailure(hysentry.Failure))
 	if err != nil {
 		return nil, nil, fmt.Errorf("callers: %w", err)
 	}
-	operators, err = hyshttp.NewServer(d.settings.OperatorAddress,
+	operators, err = hyshttp.NewServer(d.settings.OperatorAddress, hyshttp.WithListen(hyslisten.WithLog(d.log, "operators")),
 		hyshttp.WithLimits(d.settings.Limits(hysoperator.MaxBodyBytes)), hyshttp.WithFailure(hysoperator.NewFailure))
 	if err != nil {
 		callers.Close()
--- a/io/hysentry/entry.go
+++ b/io/hysentry/entry.go
@@ -93,10 +93,14 @@
 // 500 (a handler panicked) the outcome is unknown, since the request may have run;
 // with any other status the request did not run.
 func Failure(status int, reason string) any {
-	if status == http.StatusInternalServerError {
+	switch status {
+	case http.StatusInternalServerError:
 		return hysquery.Unknown("", reason)
+	case http.StatusServiceUnavailable:
+		return hysquery.NotRun("", reason, hyshttp.BusyRetryAfter.Duration())
+	default:
+		return hysquery.NotRun("", reason, 0)
 	}
-	return hysquery.NotRun("", reason, 0)
 }
 
 // Running returns the number of requests that are running.
--- a/io/hysfront/intake.go
+++ b/io/hysfront/intake.go
@@ -84,9 +84,5 @@
 // limited returns a listener that accepts the connections of one of the daemon's ports
 // within limits.
 func (f *Front) limited(port string, inner net.Listener, limits hysintake.Limits) net.Listener {
-	return hyslisten.New(inner, limits, hyslisten.WithRefusal([]byte(refusal)),
-		hyslisten.WithEvictedFunc(func(e hysintake.Eviction) {
-			f.log.Info("connection evicted", "port", port, "reason", e.Reason.String(), "bytes", e.Bytes, "age-ms", e.Age.Milliseconds())
-		}),
-		hyslisten.WithFailedFunc(func(err error) { f.log.Warn("connection not accepted", "port", port, "error", err) }))
+	return hyslisten.New(inner, limits, hyslisten.WithRefusal([]byte(refusal)), hyslisten.WithLog(f.log, port))
 }
--- a/io/hyshttp/http.go
+++ b/io/hyshttp/http.go
@@ -32,6 +32,7 @@
 
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysservice"
+	"hyssopshore/io/hyslisten"
 )
 
 // Limits holds the limits on requests and connections.
@@ -41,6 +42,8 @@
 	Header int
 	// Connections is the maximum number of open connections.
 	Connections int
+	// Memory is what the requests that arrive and run may hold together, in bytes.
+	Memory int64
 	// Read is the timeout for a whole request to arrive, Idle for the next
 	// request on a connection, and Write for each write of a response.
 	Read  time.Duration
@@ -51,11 +54,14 @@
 // DefaultLimits returns the limits of a server without options.
 func DefaultLimits() Limits {
 	return Limits{
-		Body: 1 << 20, Header: 16 << 10, Connections: 4096,
+		Body: 1 << 20, Header: 16 << 10, Connections: 4096, Memory: 16 << 20,
 		Read: 10 * time.Second, Idle: 60 * time.Second, Write: 10 * time.Second,
 	}
 }
 
+// BusyRetryAfter is when a client may come back that was refused for want of room.
+const BusyRetryAfter = hysservice.Milliseconds(50)
+
 // closeInterval is how often Stop closes idle connections.
 const closeInterval = 10 * time.Millisecond
 
@@ -77,6 +83,7 @@
 	*server.Hertz
 	limits   Limits
 	failure  FailureFunc
+	listen   []hyslisten.Option
 	listener *listener
 	inFlight inFlight
 }
@@ -94,6 +101,11 @@
 	return func(s *Server) { s.failure = f }
 }
 
+// WithListen adds options of the listener.
+func WithListen(options ...hyslisten.Option) Option {
+	return func(s *Server) { s.listen = append(s.listen, options...) }
+}
+
 // NewServer returns a server that listens on an address.
 func NewServer(address hysmember.Address, options ...Option) (*Server, error) {
 	s := &Server{
@@ -107,7 +119,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("NewServer: %w", err)
 	}
-	s.listener = newListener(inner, s.limits, s.failure)
+	s.listener = newListener(inner, s.limits, s.failure, s.listen)
+	s.inFlight.ended = func(client net.Addr) { s.listener.find(client).end() }
 	s.Hertz = s.newHertz()
 	return s, nil
 }
@@ -130,8 +143,11 @@
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(maxExitWait),
 		server.WithTracer(&s.inFlight),
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
 	)
 	h.Use(recovery.Recovery(recovery.WithRecoveryHandler(s.handlePanic)))
+	h.Use(s.receive)
 	h.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		Write(c, http.StatusNotFound, s.failure(http.StatusNotFound, "there is no path "+string(c.Path())))
 	})
@@ -165,7 +181,7 @@
 }
 
 // Connections returns how many connections are open.
-func (s *Server) Connections() int { return s.listener.count() }
+func (s *Server) Connections() int { return s.listener.Connections() }
 
 // InFlight returns the number of requests in flight, from the first byte of the
 // request to the last byte of the response.
@@ -219,8 +235,13 @@
 	if after <= 0 {
 		return
 	}
+	c.Header("Retry-After", strconv.FormatInt(retryAfterSeconds(after), 10))
+}
+
+// retryAfterSeconds returns whole seconds, rounded up.
+func retryAfterSeconds(after hysservice.Milliseconds) int64 {
 	const second = hysservice.Milliseconds(1000)
-	c.Header("Retry-After", strconv.FormatInt(int64((after+second-1)/second), 10))
+	return int64((after + second - 1) / second)
 }
 
 // Read decodes the request body like Decode.
--- a/io/hyshttp/inflight.go
+++ b/io/hyshttp/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -11,6 +12,8 @@
 // tracer interface.
 type inFlight struct {
 	count atomic.Int64
+	// ended receives the client of each request that has been answered.
+	ended func(client net.Addr)
 }
 
 // Start records the start of a request.
@@ -20,6 +23,7 @@
 }
 
 // Finish records the end of a request.
-func (f *inFlight) Finish(context.Context, *app.RequestContext) {
+func (f *inFlight) Finish(_ context.Context, c *app.RequestContext) {
 	f.count.Add(-1)
+	f.ended(c.RemoteAddr())
 }
--- a/io/hyshttp/listener.go
+++ b/io/hyshttp/listener.go
@@ -10,11 +10,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
-)
 
-// rejectTimeout is the timeout for writing the response to a connection over
-// the limit.
-const rejectTimeout = 100 * time.Millisecond
+	"hyssopshore/core/hysintake"
+	"hyssopshore/io/hyslisten"
+)
 
 // Limits on reading the rest of a rejected request.
 const (
@@ -26,66 +25,65 @@
 // counts as idle, so that a response in several writes is not cut.
 const idleDelay = 100 * time.Millisecond
 
-// listener counts connections and limits their number.
+// listener counts connections and limits their number and the memory of their requests.
 type listener struct {
-	net.Listener
+	*hyslisten.Listener
 	limits  Limits
 	failure FailureFunc
 
-	mu    sync.Mutex
-	conns map[*conn]bool
+	mu sync.Mutex
+	// conns holds the open connections by the address of the client.
+	conns map[string]*conn
 }
 
-func newListener(inner net.Listener, limits Limits, failure FailureFunc) *listener {
-	return &listener{Listener: inner, limits: limits, failure: failure, conns: make(map[*conn]bool)}
+// reasonNoRoom is the reason of a refusal for the sake of other clients.
+const reasonNoRoom = "too many connections, or large requests, at this instance"
+
+func newListener(inner net.Listener, limits Limits, failure FailureFunc, options []hyslisten.Option) *listener {
+	l := &listener{limits: limits, failure: failure, conns: make(map[string]*conn)}
+	refusal := hyslisten.WithRefusal(l.failureResponse(http.StatusServiceUnavailable, reasonNoRoom))
+	l.Listener = hyslisten.New(inner, hysintake.Limits{Connections: limits.Connections, Bytes: limits.Memory}, append(options, refusal)...)
+	return l
 }
 
-// Accept returns the next connection within the limit. Connections over the
-// limit get an error response.
+// Accept returns the next connection within the limits, a *conn.
 func (l *listener) Accept() (net.Conn, error) {
-	for {
-		inner, err := l.Listener.Accept()
-		if err != nil {
-			return nil, fmt.Errorf("listener.Accept: %w", err)
-		}
-		if c, ok := l.add(inner); ok {
-			return c, nil
-		}
-		l.reject(inner)
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("listener.Accept: %w", err)
 	}
+	limited, ok := inner.(*hyslisten.Conn)
+	if !ok {
+		return nil, fmt.Errorf("listener.Accept: %T is no connection with limits", inner)
+	}
+	return l.add(limited), nil
 }
 
-func (l *listener) add(inner net.Conn) (*conn, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.conns) >= l.limits.Connections {
-		return nil, false
-	}
+func (l *listener) add(inner *hyslisten.Conn) *conn {
 	c := &conn{Conn: inner, listener: l}
 	c.idleSince.Store(time.Now().UnixNano())
 	// Hertz applies its timeout only to the second and later requests of a
-	// connection.
+	// connection. On a closed connection the next read fails too.
 	_ = inner.SetReadDeadline(time.Now().Add(l.limits.Read))
-	l.conns[c] = true
-	return c, true
-}
-
-func (l *listener) reject(inner net.Conn) {
-	_ = inner.SetWriteDeadline(time.Now().Add(rejectTimeout))
-	_, _ = inner.Write(l.failureResponse(http.StatusServiceUnavailable, "too many connections to this instance"))
-	_ = inner.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[inner.RemoteAddr().String()] = c
+	return c
 }
 
 func (l *listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.conns, c)
+	if address := c.RemoteAddr().String(); l.conns[address] == c {
+		delete(l.conns, address)
+	}
 }
 
-func (l *listener) count() int {
+// find returns the connection of a client, nil if it is closed.
+func (l *listener) find(client net.Addr) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns)
+	return l.conns[client.String()]
 }
 
 func (l *listener) closeIdle() {
@@ -106,7 +104,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	conns := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
+	for _, c := range l.conns {
 		conns = append(conns, c)
 	}
 	return conns
@@ -116,15 +114,19 @@
 func (l *listener) failureResponse(status int, reason string) []byte {
 	// None of the project's failure types can fail to encode.
 	body, _ := json.Marshal(l.failure(status, reason))
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n",
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n",
 		status, http.StatusText(status), len(body)+1)
+	if status == http.StatusServiceUnavailable {
+		head += fmt.Sprintf("Retry-After: %d\r\n", retryAfterSeconds(BusyRetryAfter))
+	}
+	head += "\r\n"
 	return append(append([]byte(head), body...), '\n')
 }
 
 // conn is a connection of a listener. It is busy from the first byte of a request until its
 // response is written.
 type conn struct {
-	net.Conn
+	*hyslisten.Conn
 	listener *listener
 	// idleSince is in Unix nanoseconds, and 0 while the connection is busy.
 	idleSince atomic.Int64
@@ -138,6 +140,13 @@
 	return since != 0 && now.Sub(time.Unix(0, since)) >= idleDelay
 }
 
+// end marks the request of a connection as answered; nil if it is closed.
+func (c *conn) end() {
+	if c != nil {
+		c.End()
+	}
+}
+
 // Read reads and marks the connection as busy.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -171,7 +180,11 @@
 	for _, r := range libraryResponses {
 		if bytes.HasPrefix(p, []byte("HTTP/1.1 4")) && bytes.HasSuffix(p, r.text) {
 			c.rejected.Store(true)
-			if _, err := c.Conn.Write(c.listener.failureResponse(r.status, r.reason)); err != nil {
+			status, reason := r.status, r.reason
+			if c.Evicted() {
+				status, reason = http.StatusServiceUnavailable, reasonNoRoom
+			}
+			if _, err := c.Conn.Write(c.listener.failureResponse(status, reason)); err != nil {
 				return 0, fmt.Errorf("conn.Write: %w", err)
 			}
 			return len(p), nil
@@ -195,9 +208,7 @@
 // linger reads the rest of a rejected request, within limits: closing with
 // unread data would reset the connection and lose the response in transit.
 func (c *conn) linger() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
--- a/io/hyssettings/settings.go
+++ b/io/hyssettings/settings.go
@@ -29,6 +29,9 @@
 	DefaultConnectionCap      = 8
 	DefaultConnections        = 4096
 	MaxConnections            = 1_000_000
+	DefaultRequestMemory      = 16 << 20
+	MinRequestMemory          = 1 << 20
+	MaxRequestMemory          = 1 << 40
 	DefaultMaxHeaderBytes     = 16 << 10
 	MinMaxHeaderBytes         = 1 << 10
 	MaxMaxHeaderBytes         = 1 << 20
@@ -62,8 +65,11 @@
 	// ConcurrentRequests is the maximum number of callers' requests that run at
 	// the same time.
 	ConcurrentRequests int `json:"concurrent-requests"`
-	// Connections is the maximum number of open connections of each HTTP port.
+	// Connections is the maximum number of open connections of each port.
 	Connections int `json:"connections"`
+	// RequestMemory is what the requests that arrive and run may hold together, in bytes, at
+	// each port.
+	RequestMemory int `json:"request-memory-bytes"`
 	// ConnectionCap is the maximum number of connections from this daemon to a
 	// searcher.
 	ConnectionCap int `json:"connection-cap"`
@@ -114,6 +120,7 @@
 func (s *Settings) Defaults() {
 	setDefault(&s.ConcurrentRequests, DefaultConcurrentRequests)
 	setDefault(&s.Connections, DefaultConnections)
+	setDefault(&s.RequestMemory, DefaultRequestMemory)
 	setDefault(&s.ConnectionCap, DefaultConnectionCap)
 	setDefault(&s.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefaultMilliseconds(&s.ReadTimeout, DefaultReadTimeout)
@@ -134,11 +141,24 @@
 	}
 }
 
+// stateMemory is about what a daemon takes beside the requests, in bytes.
+const stateMemory = 64 << 20
+
+// requestMemoryFactor is how many times their bytes requests may take: at the callers' and
+// the operators' port, and twice while a body is put together.
+const requestMemoryFactor = 4
+
+// CollectorLimit returns the memory at which the runtime collects garbage more often, in
+// bytes.
+func (s *Settings) CollectorLimit() int64 {
+	return stateMemory + requestMemoryFactor*int64(s.RequestMemory)
+}
+
 // Limits returns the limits of an HTTP port whose request bodies have at most
 // maxBody bytes.
 func (s *Settings) Limits(maxBody int) hyshttp.Limits {
 	return hyshttp.Limits{
-		Body: maxBody, Header: s.MaxHeaderBytes, Connections: s.Connections,
+		Body: maxBody, Header: s.MaxHeaderBytes, Connections: s.Connections, Memory: int64(s.RequestMemory),
 		Read: s.ReadTimeout.Duration(), Idle: s.IdleTimeout.Duration(), Write: s.WriteTimeout.Duration(),
 	}
 }
--- a/io/hyssettings/validate.go
+++ b/io/hyssettings/validate.go
@@ -84,6 +84,7 @@
 	s.readSecrets(p)
 	p.checkRange("concurrent-requests", int64(s.ConcurrentRequests), 1, MaxConcurrentRequests)
 	p.checkRange("connections", int64(s.Connections), 1, MaxConnections)
+	p.checkRange("request-memory-bytes", int64(s.RequestMemory), MinRequestMemory, MaxRequestMemory)
 	p.checkRange("connection-cap", int64(s.ConnectionCap), 1, hysservice.MaxSearcherConnections)
 	p.checkRange("max-header-bytes", int64(s.MaxHeaderBytes), MinMaxHeaderBytes, MaxMaxHeaderBytes)
 	p.checkRange("read-timeout-ms", int64(s.ReadTimeout), 1, int64(MaxTimeout))
