--- a/io/hysdaemon/daemon.go
+++ b/io/hysdaemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"hyssopshore/core/hysdispatch"
 	"hyssopshore/core/hysgather"
+	"hyssopshore/core/hysintake"
 	"hyssopshore/core/hysmember"
 	"hyssopshore/core/hysquarantine"
 	"hyssopshore/core/hysqueue"
@@ -246,12 +247,12 @@
 // listen creates the servers for callers and operators and opens their ports.
 func (d *Daemon) listen() (callers, operators *hyshttp.Server, err error) {
 	callers, err = hyshttp.NewServer(d.settings.CallerAddress, hyshttp.WithListen(hyslisten.WithLog(d.log, "callers")),
-		hyshttp.WithLimits(d.settings.Limits(hysentry.MaxBodyBytes)), hyshttp.WithFailure(hysentry.Failure))
+		hyshttp.WithLimits(d.limits(hysentry.MaxBodyBytes, hyslisten.CallerShare)), hyshttp.WithFailure(hysentry.Failure))
 	if err != nil {
 		return nil, nil, fmt.Errorf("callers: %w", err)
 	}
 	operators, err = hyshttp.NewServer(d.settings.OperatorAddress, hyshttp.WithListen(hyslisten.WithLog(d.log, "operators")),
-		hyshttp.WithLimits(d.settings.Limits(hysoperator.MaxBodyBytes)), hyshttp.WithFailure(hysoperator.NewFailure))
+		hyshttp.WithLimits(d.limits(hysoperator.MaxBodyBytes, hyslisten.OperatorShare)), hyshttp.WithFailure(hysoperator.NewFailure))
 	if err != nil {
 		callers.Close()
 		return nil, nil, fmt.Errorf("operators: %w", err)
@@ -262,11 +263,30 @@
 	return callers, operators, nil
 }
 
+// connections returns how many connections a port may have, given its share of what the
+// system allows the process.
+func (d *Daemon) connections(share float64) int {
+	const systemLimit = 0
+	return min(d.settings.Connections, hyslisten.Sockets(systemLimit, share))
+}
+
+// limits returns the limits of an HTTP port.
+func (d *Daemon) limits(maxBody int, share float64) hyshttp.Limits {
+	l := d.settings.Limits(maxBody)
+	l.Connections = d.connections(share)
+	return l
+}
+
 func (d *Daemon) servePeers(listener net.Listener) *http.Server {
-	s := &http.Server{Handler: d.server.Handler(), Protocols: new(http.Protocols)}
+	s := &http.Server{
+		Handler: d.server.Handler(), Protocols: new(http.Protocols), ConnContext: hyslisten.ConnContext,
+		ReadTimeout: d.settings.ReadTimeout.Duration(), IdleTimeout: d.settings.IdleTimeout.Duration(),
+	}
 	s.Protocols.SetUnencryptedHTTP2(true)
 	s.Protocols.SetHTTP1(true)
-	go func() { _ = s.Serve(listener) }()
+	limits := hysintake.Limits{Connections: d.connections(hyslisten.PeerShare), Bytes: int64(d.settings.RequestMemory)}
+	limited := hyslisten.New(listener, limits, hyslisten.WithLog(d.log, "peers"))
+	go func() { _ = s.Serve(limited) }()
 	return s
 }
 
--- a/io/hyspeer/server.go
+++ b/io/hyspeer/server.go
@@ -29,6 +29,7 @@
 	"hyssopshore/core/hysticket"
 	"hyssopshore/internal/gen/peer"
 	"hyssopshore/internal/gen/peer/peerconnect"
+	"hyssopshore/io/hyslisten"
 	"hyssopshore/io/hyspermit"
 )
 
@@ -87,7 +88,7 @@
 func (s *Server) Running() int64 { return s.running.Load() }
 
 // Handler returns the handler of the peer protocol. It rejects requests
-// without the secret.
+// without the secret. A connection of a peer that has given it is never evicted.
 func (s *Server) Handler() http.Handler {
 	path, handler := peerconnect.NewPeerServiceHandler(s)
 	mux := http.NewServeMux()
@@ -100,9 +101,16 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given := r.Header.Get(headerSecret)
 		if subtle.ConstantTimeCompare([]byte(given), []byte(s.secret)) != 1 {
+			// The rest of the body is not read.
+			w.Header().Set("Connection", "close")
 			http.Error(w, "wrong secret", http.StatusUnauthorized)
 			return
 		}
+		if !hyslisten.FromContext(r.Context()).Begin() {
+			w.Header().Set("Connection", "close")
+			http.Error(w, "too many connections", http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
