--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -234,6 +234,7 @@
 func (e *exchange) prepare() bool {
 	r, state := e.request, e.ingress.State(e.request.Context())
 	if state == nil {
+		e.leaveBody()
 		e.refuse("no configuration is known yet", unconfiguredRetryAfter)
 		return false
 	}
@@ -292,8 +293,7 @@
 	switch {
 	case err == nil && conn.Begin():
 	case conn.Evicted():
-		// The rest of the body is not read.
-		e.writer.Header().Set("Connection", "close")
+		e.leaveBody()
 		e.refuse("too many requests arrive here at the same time", overloadedRetryAfter)
 		return false
 	case errors.As(err, &tooLarge):
--- a/io/hysingress/reply.go
+++ b/io/hysingress/reply.go
@@ -49,15 +49,25 @@
 	e.writeText(http.StatusServiceUnavailable, reason, http.Header{"Retry-After": {seconds}})
 }
 
-// reject answers that the request can never run as it is. It closes the connection,
-// since not all of the request may have been read.
+// reject answers that the request can never run as it is.
 func (e *exchange) reject(status int, reason string) {
 	e.record.Outcome, e.record.Reason = OutcomeRejected, reason
-	header := http.Header{}
-	if e.request.ContentLength != 0 {
-		header.Set("Connection", "close")
+	e.leaveBody()
+	e.writeText(status, reason, http.Header{})
+}
+
+// unreadTimeout is how long the rest of a body is read after an answer. A connection that is
+// closed before that is reset, and its client may lose the answer.
+const unreadTimeout = 500 * time.Millisecond
+
+// leaveBody lets the answer close the connection of a request whose body may be unread.
+func (e *exchange) leaveBody() {
+	if e.request.ContentLength == 0 {
+		return
 	}
-	e.writeText(status, reason, header)
+	e.writer.Header().Set("Connection", "close")
+	// Without deadlines, as behind another instance, there is nothing left to read.
+	_ = http.NewResponseController(e.writer).SetReadDeadline(time.Now().Add(unreadTimeout))
 }
 
 // fail answers that the request has failed. It may have run.
