--- a/core/hysmessage/message.go
+++ b/core/hysmessage/message.go
@@ -39,6 +39,22 @@
 	return hex.EncodeToString(d.Sum(nil))
 }
 
+// Bounds of the statuses of HTTP.
+const (
+	firstFinalStatus = 200
+	lastStatus       = 599
+)
+
+// IsFinalStatus reports whether a status is one of a final response, and no interim or
+// invalid one.
+func IsFinalStatus(status int) bool { return status >= firstFinalStatus && status <= lastStatus }
+
+// IsInterimStatus reports whether a status is one of a response that a final one follows.
+// After 101 the connection speaks another protocol.
+func IsInterimStatus(status int) bool {
+	return status >= http.StatusContinue && status < firstFinalStatus && status != http.StatusSwitchingProtocols
+}
+
 // Response is a searcher's response with its whole body.
 type Response struct {
 	Status int
--- a/io/hysforward/connection.go
+++ b/io/hysforward/connection.go
@@ -227,9 +227,12 @@
 		if err != nil {
 			return nil, fmt.Errorf("head: %w: %w", ErrMalformed, err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		if hysmessage.IsFinalStatus(response.StatusCode) {
 			return response, nil
 		}
+		if !hysmessage.IsInterimStatus(response.StatusCode) {
+			return nil, fmt.Errorf("status %d: %w", response.StatusCode, ErrMalformed)
+		}
 	}
 	return nil, fmt.Errorf("interim responses only: %w", ErrMalformed)
 }
--- a/io/hysrelay/gather.go
+++ b/io/hysrelay/gather.go
@@ -304,6 +304,5 @@
 
 // valid reports whether an answer has a status and an outcome that a daemon sends.
 func valid(d hysingress.DelegationResult) bool {
-	const lastStatus = 599
-	return d.Response.Status >= http.StatusOK && d.Response.Status <= lastStatus && d.Record.Outcome < hysingress.OutcomeAbandoned
+	return hysmessage.IsFinalStatus(d.Response.Status) && d.Record.Outcome < hysingress.OutcomeAbandoned
 }
--- a/io/hysrelay/run.go
+++ b/io/hysrelay/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -209,10 +208,9 @@
 // decodeResult returns the result of one of count sub-requests, and false if no daemon
 // sends such a result.
 func decodeResult(r *front.PartResult, count int) (RunResult, bool) {
-	const lastStatus = 599
 	hasMessage := r.MessageStatus != 0
 	if r.Index < 0 || int(r.Index) >= count || r.Status < 0 || r.Status > int32(hysquery.ShardFailed) ||
-		hasMessage && (r.MessageStatus < http.StatusOK || r.MessageStatus > lastStatus) {
+		hasMessage && !hysmessage.IsFinalStatus(int(r.MessageStatus)) {
 		return RunResult{}, false
 	}
 	reply := hysdispatch.SubReply{
--- a/io/hyssearch/connection.go
+++ b/io/hyssearch/connection.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hyssopshore/core/hysmember"
 	"hyssopshore/io/hysconn"
 )
@@ -25,6 +27,10 @@
 // dialTimeout bounds the time to open a connection.
 const dialTimeout = 500 * time.Millisecond
 
+// ErrStatus means that a response is no reply to a search, since its status is not 200: a
+// reply states its outcome in its body.
+const ErrStatus = errors.ConstError("the response is no reply")
+
 // connection carries one request at a time to a searcher.
 type connection struct {
 	net.Conn
@@ -60,6 +66,9 @@
 		return fmt.Errorf("read reply to %s: %w", path, err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("reply to %s: status %d: %w", path, response.StatusCode, ErrStatus)
+	}
 	c.limited.SetLimit(maxReply)
 	data, err := hysconn.ReadBody(response.Body)
 	if err != nil {
