--- a/io/hysfront/callers.go
+++ b/io/hysfront/callers.go
@@ -20,6 +20,9 @@
 	defaultIdleTimeout   = 75 * time.Second
 )
 
+// answerTimeout bounds how long a caller may take to read an answer.
+const answerTimeout = 30 * time.Second
+
 // callerServer serves the callers' port. An http.Server fixes its timeouts when it
 // starts, so each change of them in the configuration starts another server on the
 // same port. Connections stay with the server that got them.
--- a/io/hysfront/front.go
+++ b/io/hysfront/front.go
@@ -247,7 +247,7 @@
 	f.ingress = &hysingress.Ingress{
 		Headers: headers, State: f.awaitConfiguration, Submit: f.dispatcher.Submit, Admit: f.dispatcher.Admit,
 		Relay: f.relay, Lost: f.reach.Lost, MostlyLost: f.mostlyLost,
-		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections,
+		Delegate: f.delegate, Quarantined: f.quarantined, Observe: f.observe, Closing: f.closesConnections, AnswerTimeout: answerTimeout,
 	}
 	f.callerServer = newCallerServer(f.ingress, f.log, func(l net.Listener) net.Listener { return f.limited("callers", l, s.callerLimits()) })
 	for _, o := range options {
--- a/io/hysingress/ingress.go
+++ b/io/hysingress/ingress.go
@@ -174,6 +174,9 @@
 	Observe     ObserveFunc
 	// Closing reports whether to close connections after an answer.
 	Closing func() bool
+	// AnswerTimeout bounds how long a caller may take to read an answer; 0 stands for no
+	// bound.
+	AnswerTimeout time.Duration
 
 	// lateness tracks how late this instance sends its partial answers.
 	lateness hyspartial.Lateness
--- a/io/hysingress/reply.go
+++ b/io/hysingress/reply.go
@@ -112,6 +112,11 @@
 		sent.Del("Content-Length")
 	}
 	e.record.Status = status
+	if timeout := e.ingress.AnswerTimeout; timeout > 0 {
+		// net/http writes the end of the answer after the handler has returned, so the
+		// deadline stays. Without deadlines, as behind another instance, nothing blocks.
+		_ = http.NewResponseController(e.writer).SetWriteDeadline(time.Now().Add(timeout))
+	}
 	e.writer.WriteHeader(status)
 	if _, err := e.writer.Write(body); err != nil && e.request.Method != http.MethodHead {
 		e.record.Outcome, e.record.Reason = OutcomeAbandoned, "the answer was not taken: "+err.Error()
