--- a/internal/hystest/crowd.go
+++ b/internal/hystest/crowd.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 )
 
@@ -19,6 +20,53 @@
 // queue of a listener holds.
 const crowdDialers = 64
 
+// crowdStay is how long a crowd stays before the ordinary request, so that the daemon has
+// accepted all its connections.
+const crowdStay = time.Second
+
+// CrowdCase is one case of a test's data: a crowd at one port of a daemon.
+type CrowdCase struct {
+	Name  string `json:"name"`
+	Port  string `json:"port"`
+	Crowd *Crowd `json:"crowd"`
+	// MaxDescriptors, unless 0, replaces the descriptors that the test allows the daemon.
+	MaxDescriptors int `json:"max-descriptors"`
+}
+
+// CrowdBounds are what a process may use while a crowd stays.
+type CrowdBounds struct {
+	MemoryMB    int64
+	Descriptors int
+}
+
+// Run sends the crowd to an address, and an ordinary request while it stays, and checks
+// that the process lives within its bounds and serves that request.
+func (c *CrowdCase) Run(t *testing.T, p *Process, address string, b CrowdBounds, ordinary func() (status int, err error)) {
+	t.Helper()
+	defer c.Crowd.Close()
+	c.Crowd.Send(address)
+	time.Sleep(crowdStay)
+	status, err := ordinary()
+	if !p.Alive() {
+		t.Fatal("the daemon has ended")
+	}
+	memory, memoryErr := p.PeakMemory()
+	if memoryErr != nil {
+		t.Fatal(memoryErr)
+	}
+	descriptors := p.PeakDescriptors()
+	t.Logf("status %d, %v; memory %d MB, %d descriptors", status, err, memory>>20, descriptors)
+	if memory > b.MemoryMB<<20 {
+		t.Errorf("the daemon took %d MB of memory, %d MB allowed", memory>>20, b.MemoryMB)
+	}
+	if descriptors > b.Descriptors {
+		t.Errorf("the daemon had %d open descriptors, %d allowed", descriptors, b.Descriptors)
+	}
+	if err != nil || status != http.StatusOK {
+		t.Errorf("an ordinary request afterwards: status %d, %v", status, err)
+	}
+}
+
 // Crowd is many clients that each send a request with a large body. Most stop just
 // short of its end and stay.
 type Crowd struct {
--- a/io/hysdaemon/crowd_test.go
+++ b/io/hysdaemon/crowd_test.go
@@ -29,20 +29,10 @@
 	crowdMaxDescriptors     = 4 * crowdConnections
 	crowdManyMaxDescriptors = 4 * crowdManyConnections
 	// crowdMemoryMB is the smallest memory that a deployment gives a daemon.
-	crowdMemoryMB = 160
-	// crowdStay is how long a crowd stays before the ordinary request, so that the daemon
-	// has accepted all its connections.
-	crowdStay         = time.Second
+	crowdMemoryMB     = 160
 	crowdReadyTimeout = 20 * time.Second
 )
 
-// crowdCase is one case of testdata/crowds.json.
-type crowdCase struct {
-	Name  string         `json:"name"`
-	Port  string         `json:"port"`
-	Crowd *hystest.Crowd `json:"crowd"`
-}
-
 // startCrowdDaemon starts a real daemon and configures it. It returns the process and a
 // handle to send it queries.
 func startCrowdDaemon(t *testing.T, binary string, connections int) (*hystest.Process, *hystest.Daemon) {
@@ -86,38 +76,21 @@
 func TestCrowd(t *testing.T) {
 	binary, err := hystest.BuildDaemon(t.TempDir(), "../../cmd/hyssopshore")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
-	var cases []crowdCase
+	var cases []hystest.CrowdCase
 	hyssuite.Read("crowds.json", &cases)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			g := gomega.NewWithT(t)
-			connections, maxDescriptors := crowdManyConnections, crowdManyMaxDescriptors
+			connections, bounds := crowdManyConnections, hystest.CrowdBounds{MemoryMB: crowdMemoryMB, Descriptors: crowdManyMaxDescriptors}
 			if c.Crowd.BodyBytes == 0 {
-				connections, maxDescriptors = crowdConnections, crowdMaxDescriptors
+				connections, bounds.Descriptors = crowdConnections, crowdMaxDescriptors
 			}
 			process, d := startCrowdDaemon(t, binary, connections)
 			addresses := map[string]hysmember.Address{
 				"callers": d.Settings.CallerAddress, "peers": d.Settings.PeerAddress, "operators": d.Settings.OperatorAddress,
 			}
-			defer c.Crowd.Close()
 			// The ordinary request comes on a connection of its own.
 			http.DefaultClient.CloseIdleConnections()
-			c.Crowd.Send(string(addresses[c.Port]))
-			time.Sleep(crowdStay)
-			status, err := ordinaryQuery(d)
-			memory, memoryErr := process.PeakMemory()
-			t.Logf("status %d, %v; memory %d MB, %d descriptors", status, err, memory>>20, process.PeakDescriptors())
-			g.Expect(process.Alive()).To(gomega.BeTrue())
-			g.Expect(memoryErr).NotTo(gomega.HaveOccurred())
-			if memory > crowdMemoryMB<<20 {
-				t.Errorf("the daemon took %d MB of memory, %d MB allowed", memory>>20, crowdMemoryMB)
-			}
-			if peak := process.PeakDescriptors(); peak > maxDescriptors {
-				t.Errorf("the daemon had %d open descriptors, %d allowed", peak, maxDescriptors)
-			}
-			if err != nil || status != http.StatusOK {
-				t.Errorf("an ordinary request afterwards: status %d, %v", status, err)
-			}
+			c.Run(t, process, string(addresses[c.Port]), bounds, func() (int, error) { return ordinaryQuery(d) })
 		})
 	}
 }
