--- a/core/hysintake/table_test.go
+++ b/core/hysintake/table_test.go
@@ -79,17 +79,6 @@
 			}
 		})
 	}
-
-	DescribeTable("refuses limits that are not positive", func(l hysintake.Limits, valid bool) {
-		if valid {
-			Expect(l.Validate()).To(Succeed())
-			return
-		}
-		Expect(l.Validate()).To(MatchError(hysintake.ErrInvalid))
-	},
-		Entry("both set", hysintake.Limits{Connections: 1, Bytes: 1}, true),
-		Entry("no connections", hysintake.Limits{Bytes: 1}, false),
-		Entry("no bytes", hysintake.Limits{Connections: 1}, false))
 })
 
 // model is what must hold, without an order of evictions.
